--- a/tests/fakes/mod.rs
+++ b/tests/fakes/mod.rs
@@ -148,6 +148,8 @@
             }
             Act::Close(bytes) => {
                 let _ = stream.write_all(&bytes);
+                let _ = stream.shutdown(std::net::Shutdown::Write);
+                eventually("the close stands in the peer's socket", || !close_is_under_way(&stream));
                 drop((stream, reader));
                 let _ = closed.send(Duration::ZERO);
                 return;
@@ -157,6 +159,17 @@
     }
 }
 
+/// The peer's side has not taken in the close yet: a busy machine delivers it some time after the call that
+/// ends the stream has returned. The kernel tells it by the state of this end.
+fn close_is_under_way(stream: &TcpStream) -> bool {
+    const FIN_WAIT1: &str = "04";
+    let (Ok(here), Ok(there)) = (stream.local_addr(), stream.peer_addr()) else { return false };
+    let ports = (format!(":{:04X}", here.port()), format!(":{:04X}", there.port()));
+    let table = std::fs::read_to_string("/proc/net/tcp").expect("the kernel's table of connections");
+    let mut rows = table.lines().map(|line| line.split_whitespace().collect::<Vec<_>>());
+    rows.any(|row| row[1].ends_with(&ports.0) && row[2].ends_with(&ports.1) && row[3] == FIN_WAIT1)
+}
+
 /// A discovery agent: `list` is the whole list, and what is sent on `watch` goes to all open watches raw.
 pub struct Discovery {
     pub address: SocketAddr,
