--- a/src/logic.rs
+++ b/src/logic.rs
@@ -1,5 +1,5 @@
 //! Every decision of a gateway, in the order a request meets them. The vocabulary (settings, events,
-//! actions) is in `src/interface.rs`; the rule and each departure from it are told in `docs/design.md`.
+//! actions) is in `src/interface.rs`; each departure from the rule is told where it is decided.
 
 use crate::interface::*;
 use crate::state::*;
@@ -25,8 +25,8 @@
 const FACTOR_CACHE: Millis = 100.0;
 /// Span of the fast rate that the perceived rate also looks at, ms.
 const FAST_SPAN: Millis = 1000.0;
-/// Customers idle this long are forgotten, ms, once their window is empty and their stores are full. An epoch at
-/// least, so that what a name holds of before is not read again; ten minutes would keep all who come only once.
+/// Customers idle this long are forgotten, ms, once their window is empty and their stores full. An epoch at
+/// least, so that a name's old use is not read again; ten minutes would keep all who come only once.
 const IDLE: Millis = EPOCH;
 /// Customers looked at for that in one housekeeping: however many there are, it takes no longer.
 const IDLE_BATCH: usize = 32;
@@ -48,7 +48,7 @@
 /// is then unknown.
 const CROWDED: f64 = 1.5;
 const STALE: Millis = 1.2 * (SYNC_EVERY + FLUSH_AFTER);
-/// Factors of the pace between calls on a failed and on a quick one, and its bound: a counter that is asked too
+/// Factors of the pace between calls on a failed and on a quick one, and its bound: a counter asked too
 /// much answers next to none in time, so calls are made rarer and larger until about one in twenty fails.
 const PACE_UP: f64 = 1.4;
 const PACE_DOWN: f64 = 0.98;
@@ -614,7 +614,7 @@
         let healthy = self.servers.values().filter(|s| sound(s)).count();
         // Subsetting: danger is that evidence of each server comes too rarely to act on. Of a subset, in an
         // order of this gateway's own, two are compared: all compared would send many gateways to one server
-        // at once. It covers every kind of slowness and hurts by uneven shares, which load reports even out.
+        // at once. It covers every kind of slowness and hurts by uneven shares.
         let size = (self.flow.send_rate * SUBSET_SPAN).max(SUBSET_LEAST);
         let subset = size < ready as f64;
         self.flow.subset = subset;
--- a/src/logic/thin.rs
+++ b/src/logic/thin.rs
@@ -1,11 +1,11 @@
-//! Thin customers: those of which each gateway sees too little to batch. In a fleet of a hundred gateways that
+//! Thin customers: those of which each gateway sees too little to batch. In a fleet of a hundred gateways it
 //! is almost everyone; a gateway then knows nothing of a customer that it has not just read.
 //!
 //! So the count of such a customer is kept where all can act on it at once. The name holds the units accepted
 //! since it began; less what the rate has yielded since, that is the use in the sliding window, and one
 //! call both books a request and tells that use. What is declined is taken back. Danger is that gateways that
 //! each estimate a rate all let the same excess in, or all refuse the same room; it covers skewed traffic,
-//! spikes and restarts without memory, and it hurts by a call where no read is fresh: a sync with a batch of one.
+//! spikes and restarts without memory, and it hurts by a call where no read is fresh: a batch of one.
 
 use super::*;
 
@@ -24,7 +24,7 @@
 impl Customer {
     /// The name of this customer's present count, and what the rate has yielded since it began. Customers'
     /// names are staggered by their numbers: all ending at once would bring on corrections of all together.
-    /// What a name before still holds is forgiven, a burst at most: reading it would cost more calls than that.
+    /// What a name before still holds is forgiven, a burst at most: reading it would cost more calls.
     fn count(&self, customer: CustomerId, now: Millis) -> (CountName, f64) {
         let phased = now + (customer.0 % 64) as f64 / 64.0 * EPOCH;
         let name = Gateway::name(customer, ACCEPTED, (phased / EPOCH).floor() as i64);
