Wait for a count as long as the settings let a call take

COUNT_WAIT was 60 ms whatever the deployment. Where a call may take 80 ms (registre-mtl) requests were decided without an answer that was still in time; where the settings allow seconds, nothing bounded it by the class. Now a request waits for the call's time-out of the settings, and for a quarter of its class's aim at most, so that a counter that is slow by its settings holds no request for long.

Test: the wait ends at the time-out, or at a quarter of the aim; it fails on the old constant.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -61,8 +61,8 @@
 const PACE_SHARE: f64 = 4.0;
 /// Period of the housekeeping timer, ms: short beside any aim.
 const TICK: Millis = 20.0;
-/// A request waiting for the counter is decided without it after this, ms.
-const COUNT_WAIT: Millis = 60.0;
+/// A request waiting for the counter is decided without it after a call's time-out, or this share of its aim.
+const COUNT_SHARE: f64 = 0.25;
 /// Weight of a new sample in a server's or class's mean answer time: about the last ten.
 const MEAN_GAIN: f64 = 0.1;
 /// The same for an attempt that was given up.
@@ -318,8 +318,7 @@
             Event::Streaming { id, .. } => _ = self.open.entry(id).and_modify(|o| o.streaming = true),
             Event::Gone(id) => _ = self.close(id, now),
             Event::Timer(_) => self.tick(now),
-            // Servers report no load, and a probe would tell no more than that a process runs.
-            Event::Probed { .. } => {}
+            Event::Probed { .. } => {} // none is asked for
             Event::Counted { name, outcome, took, total } => self.counted(now, name, outcome, took, total),
         }
         self.serve_held(now);
--- a/tests/logic.rs
+++ b/tests/logic.rs
@@ -414,6 +414,19 @@
     }
 }
 
+#[test]
+fn a_count_is_waited_for_as_long_as_the_settings_let_a_call_take_but_not_for_most_of_the_aim() {
+    // Of a call that takes up to 100 ms, and of one that may take far longer than the aim of 500 ms.
+    for (timeout, until) in [(100.0, 100.0), (5000.0, 125.0)] {
+        let mut rig = Rig::new(Settings { counter_timeout: timeout, ..crowd(4.0, 10.0) }, 4);
+        ask_thin(&mut rig, 1000.0, 0);
+        let before = rig.feed(1000.0 + until - 1.0, Event::Timer(0));
+        assert!(sent(&before).is_none(), "decided before {until} ms");
+        let after = rig.feed(1000.0 + until, Event::Timer(0));
+        assert!(sent(&after).is_some(), "not decided after {until} ms");
+    }
+}
+
 #[test]
 fn many_gateways_together_hold_less_than_one_attempt_each_when_answers_are_slow() {
     let servers = 100;
