Read lists over several lines, and ask for the whole one where an entry is not understood

Watches were read line by line: a list laid out over several lines failed on its first line (EOF while parsing an object), the watch was given up, and the whole list asked for, again and again for as long as lists came indented. An entry that could not be read was skipped while the version went on, so what it told (a drain) was never heard of. A line cut off with only empty lines behind it was taken for a quiet watch. At fault: Lines::next and Follower::round in src/net/discovery.rs, Driver::list.

Now objects are put together wherever pieces and lines end. One that cannot be read, does not end within 1 s, or holds an entry that is not understood brings the whole list; a whole list that holds one is not asked for again. A drain is taken in without an address too. A list needs its version and its members.

An agent that is back is asked again within the drain grace of the settings, whatever call was out to it: a call had 1 s and the pause up to 1 s, together more than the grace of 1 s.

Tests: an indented watch is kept and its drain heeded; bad entries and an object that does not end bring the whole list; a bad whole list is asked for once; shares of the grace.

--- a/src/main.rs
+++ b/src/main.rs
@@ -109,8 +109,8 @@
     let clients = (sockets as f64 * CLIENT_SHARE) as usize;
     let driver = Driver::new(&config, sockets - clients);
     driver.start();
-    let known = config.known.as_ref().map_or(0, |k| k.revision);
-    let mut following = Following::start(&driver, config.discovery, Some(known));
+    let known = config.known.as_ref().map(|k| k.revision);
+    let mut following = Following::start(&driver, config.discovery, known);
     let waiting = driver.clone();
     tokio::task::spawn_local(async move {
         tokio::time::sleep(LIST_WAIT).await;
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -31,6 +31,9 @@
 
 impl std::error::Error for ConfigError {}
 
+/// Spans of the settings count as this, ms, where they are longer: a day.
+const LONGEST_SPAN: f64 = 86_400_000.0;
+
 /// The part of the file that is read as it stands.
 #[derive(Deserialize)]
 struct File {
@@ -40,7 +43,8 @@
     counter: Option<SocketAddr>,
     #[serde(default)]
     seed: String,
-    known: Option<ServerList>,
+    #[serde(default)]
+    known: Value,
     #[serde(default)]
     limits: Limits,
     settings: Value,
@@ -108,6 +112,8 @@
     pub conn_idle: f64,
     /// A connection that is not up within this, ms, has failed.
     pub connect_timeout: f64,
+    /// Nothing new may reach a server this long, ms, after it was told to drain.
+    pub drain_grace: f64,
 }
 
 impl Config {
@@ -134,8 +140,8 @@
             zones: texts(&set["areas"]),
             report: texts(&set["report"]["columns"]),
         };
-        let ceiling = |key: &str, absent: f64| {
-            set["ceilings"][key].as_f64().filter(|v| v.is_finite() && *v > 0.0).unwrap_or(absent)
+        let span = |part: &str, key: &str, absent: f64| {
+            set[part][key].as_f64().filter(|v| *v > 0.0).map_or(absent, |v| v.min(LONGEST_SPAN))
         };
         Ok(Config {
             name: file.name,
@@ -143,12 +149,14 @@
             discovery: file.discovery,
             counter: file.counter,
             seed: u64::from_str_radix(&file.seed, 16).unwrap_or_else(|_| fallback_seed(&file.seed)),
-            known: file.known,
+            // It may be old and is only where to begin: without it discovery tells the whole list.
+            known: ServerList::deserialize(file.known).ok(),
             limits: file.limits,
             settings,
             names,
-            conn_idle: ceiling("conn_idle", 15_000.0),
-            connect_timeout: ceiling("connect_timeout", 250.0),
+            conn_idle: span("ceilings", "conn_idle", 15_000.0),
+            connect_timeout: span("ceilings", "connect_timeout", 250.0),
+            drain_grace: span("safety", "drain_grace", 1000.0),
         })
     }
 }
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -15,19 +15,23 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::time::timeout;
+use tokio::time::{timeout, timeout_at, Instant};
 
-/// Longest line or list that is read; more is taken for nonsense.
+/// Longest object or list that is read; more is taken for nonsense.
 const MOST_BYTES: usize = 1 << 20;
-/// Time for a connection, an answer's head or a whole list.
+/// Time for a whole list, and for the rest of an object that has begun.
 const PATIENCE: Duration = Duration::from_secs(1);
+/// Shares of the grace after a drain within which an agent that is back has to be heard, whatever call was
+/// out to it when it came back: a call is waited for this long, and the next follows after this at the most.
+/// The agent stands on this machine and answers at once if at all.
+const CALL_SHARE: f64 = 0.5;
+const PAUSE_SHARE: f64 = 0.25;
 /// A watch that has not even sent its empty line for this long, a little over its period of two seconds, is
 /// opened anew: it may be dead while the agent is not, and what the agent has counts as told. Where it is
 /// discovery that is down, asking again costs nothing.
 const SILENCE: Duration = Duration::from_millis(2300);
-/// First pause after a failure; doubles up to the other.
+/// First pause after a failure; doubles up to the longest.
 const PAUSE: Duration = Duration::from_millis(50);
-const LONGEST_PAUSE: Duration = Duration::from_secs(1);
 
 type Failure = Box<dyn Error + Send + Sync>;
 
@@ -35,13 +39,11 @@
 #[derive(Clone, Debug, Deserialize)]
 pub struct ServerList {
     /// The list's version.
-    #[serde(default)]
     pub revision: u64,
     /// All servers, not only what changed.
     #[serde(default)]
     pub complete: bool,
     /// The entries, read one by one so that a bad one does not hide the others.
-    #[serde(default)]
     members: Vec<Value>,
 }
 
@@ -74,33 +76,43 @@
 }
 
 impl ServerList {
-    /// The entries that can be read.
-    pub fn members(&self) -> impl Iterator<Item = Member> + '_ {
-        self.members.iter().filter_map(|m| match Member::deserialize(m) {
-            Ok(member) => Some(member),
-            Err(e) => {
-                log::warn!("discovery: an entry cannot be read: {e}");
-                None
-            }
-        })
+    /// The entries, each with why it cannot be read if that is so.
+    pub fn members(&self) -> impl Iterator<Item = Result<Member, serde_json::Error>> + '_ {
+        self.members.iter().map(Member::deserialize)
     }
 }
 
 /// Follows discovery for the life of the process, from the version that `known` ends at; without one, the
 /// whole list comes first.
 pub async fn follow(driver: Rc<Driver>, agent: SocketAddr, known: Option<u64>) {
-    let mut state = Follower { driver, agent, since: known, pause: PAUSE };
+    let pace = Pace::within(driver.drain_grace());
+    let mut state = Follower { driver, agent, since: known, pace, pause: PAUSE };
     loop {
         let Err(e) = state.round().await;
         log::warn!("discovery: {e}; again in {} ms", state.pause.as_millis());
         tokio::time::sleep(state.pause).await;
-        state.pause = (state.pause * 2).min(LONGEST_PAUSE);
+        state.pause = (state.pause * 2).min(state.pace.longest_pause);
+    }
+}
+
+/// How a silent agent is asked.
+struct Pace {
+    /// Time for a connection and an answer's head, each.
+    patience: Duration,
+    longest_pause: Duration,
+}
+
+impl Pace {
+    fn within(grace: Duration) -> Self {
+        let longest_pause = grace.mul_f64(PAUSE_SHARE).max(PAUSE);
+        Pace { patience: grace.mul_f64(CALL_SHARE).clamp(PAUSE, PATIENCE), longest_pause }
     }
 }
 
 struct Follower {
     driver: Rc<Driver>,
     agent: SocketAddr,
+    pace: Pace,
     /// The version that is known without a gap; without one, the whole list is due.
     since: Option<u64>,
     pause: Duration,
@@ -113,108 +125,188 @@
             Some(since) => since,
             None => self.whole_list().await?,
         };
-        let answer = get(self.agent, &format!("/v1/servers?follow=1&since={since}")).await?;
+        let answer = self.get(&format!("/v1/servers?follow=1&since={since}")).await?;
         let mut body = answer.into_body();
-        let mut lines = Lines::default();
+        let mut objects = Objects::default();
+        let mut begun = None;
         loop {
-            let frame = timeout(SILENCE, body.frame()).await.map_err(|_| "the watch fell silent")?;
-            let frame = frame.ok_or("the watch ended")??;
+            // Dropped at this await, a piece that has come is lost with the connection; the next watch
+            // begins after the last object that was taken whole.
+            let due = begun.map_or_else(|| Instant::now() + SILENCE, |at| at + PATIENCE);
+            let frame = timeout_at(due, body.frame()).await;
+            let frame = match frame {
+                Ok(frame) => frame.ok_or("the watch ended")??,
+                // What the object would have changed is unknown.
+                Err(_) if begun.is_some() => return self.unreadable("an object that does not end"),
+                Err(_) => return Err("the watch fell silent".into()),
+            };
             let Ok(data) = frame.into_data() else { continue };
-            lines.push(&data);
-            while let Some(line) = lines.next() {
-                // What a line that cannot be read would have changed is unknown: the whole list is due.
-                let list = serde_json::from_slice(&line).inspect_err(|_| self.since = None)?;
-                self.take(&list);
+            objects.push(&data);
+            loop {
+                match objects.next() {
+                    Ok(Some(list)) => {
+                        begun = None;
+                        if !self.take(&list) && !list.complete {
+                            return self.unreadable("an entry that cannot be read");
+                        }
+                    }
+                    Ok(None) => break,
+                    Err(e) => return self.unreadable(&e.to_string()),
+                }
             }
-            if lines.rest.len() > MOST_BYTES {
-                self.since = None;
-                return Err("a line without end".into());
+            if objects.begun() {
+                begun = begun.or_else(|| Some(Instant::now()));
+            }
+            if objects.rest.len() > MOST_BYTES {
+                return self.unreadable("an object without end");
             }
         }
     }
 
+    /// What a watch has brought cannot be read, and so what has changed is unknown: the whole list is due.
+    fn unreadable(&mut self, why: &str) -> Result<Infallible, Failure> {
+        self.since = None;
+        Err(why.into())
+    }
+
     async fn whole_list(&mut self) -> Result<u64, Failure> {
-        let answer = get(self.agent, "/v1/servers").await?;
+        let answer = self.get("/v1/servers").await?;
         let body = Limited::new(answer.into_body(), MOST_BYTES).collect();
         let body = timeout(PATIENCE, body).await.map_err(|_| "the list takes too long")??;
         let list: ServerList = serde_json::from_slice(&body.to_bytes())?;
+        // An entry of it that cannot be read stays left out: asking again would bring the same list.
         self.take(&ServerList { complete: true, ..list });
         Ok(self.since.unwrap_or(0))
     }
 
-    fn take(&mut self, list: &ServerList) {
+    /// Hands a list on; false where something in it could not be read.
+    fn take(&mut self, list: &ServerList) -> bool {
         self.since = Some(list.revision);
         self.pause = PAUSE;
-        self.driver.servers_changed(list);
+        self.driver.servers_changed(list)
     }
-}
 
-/// Asks the agent, on a connection of its own.
-async fn get(agent: SocketAddr, path: &str) -> Result<Response<Incoming>, Failure> {
-    let stream = timeout(PATIENCE, TcpStream::connect(agent)).await??;
-    let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
-    tokio::task::spawn_local(async move {
-        if let Err(e) = connection.await {
-            log::debug!("discovery: {e}");
+    /// Asks the agent, on a connection of its own.
+    async fn get(&self, path: &str) -> Result<Response<Incoming>, Failure> {
+        let patience = self.pace.patience;
+        let stream = timeout(patience, TcpStream::connect(self.agent)).await??;
+        let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+        tokio::task::spawn_local(async move {
+            if let Err(e) = connection.await {
+                log::debug!("discovery: {e}");
+            }
+        });
+        let request = Request::get(path).header("host", self.agent.to_string()).body(Empty::<Bytes>::new())?;
+        let answer = timeout(patience, sender.send_request(request)).await??;
+        match answer.status() {
+            StatusCode::OK => Ok(answer),
+            status => Err(format!("answered {status}").into()),
         }
-    });
-    let request = Request::get(path).header("host", agent.to_string()).body(Empty::<Bytes>::new())?;
-    let answer = timeout(PATIENCE, sender.send_request(request)).await??;
-    match answer.status() {
-        StatusCode::OK => Ok(answer),
-        status => Err(format!("answered {status}").into()),
     }
 }
 
-/// Puts lines together from pieces that end anywhere.
+/// Puts objects together from pieces that end anywhere. An object may stand on one line or be laid out over
+/// several; between two there is nothing but white space, the empty lines of a quiet watch among it.
 #[derive(Default)]
-struct Lines {
+struct Objects {
     rest: Vec<u8>,
-    read: usize,
 }
 
-impl Lines {
+impl Objects {
     fn push(&mut self, data: &[u8]) {
-        self.rest.drain(..self.read);
-        self.read = 0;
         self.rest.extend_from_slice(data);
     }
 
-    /// The next whole line that is not empty.
-    fn next(&mut self) -> Option<Vec<u8>> {
-        loop {
-            let ahead = &self.rest[self.read..];
-            let end = ahead.iter().position(|b| *b == b'\n')?;
-            let line = ahead[..end].trim_ascii().to_vec();
-            self.read += end + 1;
-            if !line.is_empty() {
-                return Some(line);
+    /// The next object that is whole; none while the rest of it is still to come.
+    fn next(&mut self) -> Result<Option<ServerList>, serde_json::Error> {
+        let mut stream = serde_json::Deserializer::from_slice(&self.rest).into_iter();
+        let next = stream.next();
+        let read = stream.byte_offset();
+        match next {
+            Some(Err(e)) if !e.is_eof() => Err(e),
+            Some(Err(_)) => Ok(None),
+            Some(Ok(list)) => {
+                self.rest.drain(..read);
+                Ok(Some(list))
+            }
+            None => {
+                self.rest.clear();
+                Ok(None)
             }
         }
     }
+
+    /// An object has begun.
+    fn begun(&self) -> bool {
+        !self.rest.trim_ascii().is_empty()
+    }
 }
 
 #[cfg(test)]
 mod tests {
     use super::*;
 
-    #[test]
-    fn lines_are_put_together_over_the_borders_of_pieces() {
-        let mut lines = Lines::default();
-        let mut seen = Vec::new();
-        for piece in ["\n{\"a\"", ":1}\r", "\n\n{}", "\n{"] {
-            lines.push(piece.as_bytes());
-            while let Some(line) = lines.next() {
-                seen.push(String::from_utf8(line).expect("text"));
+    fn read(pieces: &[&str]) -> (Vec<u64>, bool, Objects) {
+        let (mut objects, mut seen) = (Objects::default(), Vec::new());
+        for piece in pieces {
+            objects.push(piece.as_bytes());
+            loop {
+                match objects.next() {
+                    Ok(Some(list)) => seen.push(list.revision),
+                    Ok(None) => break,
+                    Err(_) => return (seen, false, objects),
+                }
             }
         }
-        assert_eq!(seen, ["{\"a\":1}", "{}"]);
+        (seen, true, objects)
+    }
+
+    #[test]
+    fn objects_are_put_together_over_the_borders_of_pieces_and_lines() {
+        let (seen, sound, rest) = read(&[
+            "\n{\"revision\"",
+            ":1,\"complete\":false,\"members\":[]}\r",
+            "\n\n{\n  \"revision\": 2,\n  \"complete\"",
+            ": false,\n\n  \"members\": [\n  ]\n}\n\n{\"revision\":3,",
+            "\"complete\":true,\"members\":[]}{\"revision\":4,\"complete\":true,\"members\":[]}\n",
+            "\n{",
+        ]);
+        assert_eq!((seen, sound, rest.begun()), (vec![1, 2, 3, 4], true, true));
+        let (seen, sound, rest) = read(&["{\"revision\":1,\"members\":[]}\n", "\n"]);
+        assert_eq!((seen, sound, rest.begun()), (vec![1], true, false));
+    }
+
+    #[test]
+    fn an_agent_that_is_back_is_asked_again_within_the_grace_whatever_the_settings() {
+        for grace in [0, 120, 500, 1000, 2500, 20_000].map(Duration::from_millis) {
+            let pace = Pace::within(grace);
+            // Only a grace too short for any call is not kept to.
+            assert!(pace.patience + pace.longest_pause < grace.max(PAUSE * 3), "{grace:?}");
+            assert!(pace.patience >= PAUSE && pace.longest_pause >= PAUSE, "{grace:?}: asks without a pause");
+        }
+    }
+
+    #[test]
+    fn what_is_no_list_is_told_as_an_error() {
+        for bad in [
+            "{\"revision\": oops",
+            "{}",
+            "7\n",
+            "{\"revision\":1}",
+            "{\"members\":[]}",
+            "{\"revision\":-1,\"members\":[]}",
+            // Cut off in a text, with the next line behind it.
+            "{\"revision\":1,\"compl\n{\"revision\":2,\"members\":[]}\n",
+        ] {
+            assert!(!read(&[bad]).1, "{bad:?}");
+        }
     }
 
     #[test]
     fn an_entry_that_cannot_be_read_does_not_hide_the_others() {
         let text = r#"{"revision":4,"members":[{"id":7},{"id":"s-1","phase":"Ready"}]}"#;
         let list: ServerList = serde_json::from_str(text).expect("a list");
-        assert_eq!(list.members().map(|m| m.id).collect::<Vec<_>>(), ["s-1"]);
+        assert_eq!(list.members().flatten().map(|m| m.id).collect::<Vec<_>>(), ["s-1"]);
+        assert_eq!(list.members().count(), 2);
     }
 }
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -136,6 +136,7 @@
     clock: Clock,
     names: Names,
     settings: Settings,
+    drain_grace: Duration,
     state: RefCell<State>,
     events: RefCell<VecDeque<Event>>,
     feeding: Cell<bool>,
@@ -163,6 +164,7 @@
             clock,
             names: config.names.clone(),
             settings: config.settings.clone(),
+            drain_grace: Duration::from_secs_f64(config.drain_grace / 1000.0),
             state: RefCell::new(state),
             events: RefCell::default(),
             feeding: Cell::new(false),
@@ -206,6 +208,11 @@
         &self.settings
     }
 
+    /// How long after it was told of a drain a server may still be sent something new.
+    pub fn drain_grace(&self) -> Duration {
+        self.drain_grace
+    }
+
     /// The limiter can serve.
     pub fn is_ready(&self) -> bool {
         self.ready.get() && !self.state.borrow().servers.is_empty()
@@ -451,21 +458,27 @@
 
     // ---- Servers ------------------------------------------------------------------------------
 
-    /// Discovery has told something.
-    pub fn servers_changed(self: &Rc<Self>, list: &ServerList) {
-        self.list(list, if list.complete { ListUpdate::Full } else { ListUpdate::Delta });
+    /// Discovery has told something. False where an entry made no sense: what it changes is unknown.
+    pub fn servers_changed(self: &Rc<Self>, list: &ServerList) -> bool {
+        let whole = self.list(list, if list.complete { ListUpdate::Full } else { ListUpdate::Delta });
         self.set_ready();
+        whole
     }
 
-    fn list(self: &Rc<Self>, list: &ServerList, update: ListUpdate) {
+    fn list(self: &Rc<Self>, list: &ServerList, update: ListUpdate) -> bool {
         let mut entries = Vec::new();
+        let mut whole = true;
         {
             let mut state = self.state.borrow_mut();
             let mut named = Vec::new();
             for member in list.members() {
-                if let Some(entry) = self.learn(&mut state.servers, &member) {
-                    named.push(entry.server);
-                    entries.push(entry);
+                let member = member.inspect_err(|e| log::warn!("discovery: an entry cannot be read: {e}"));
+                match member.ok().and_then(|member| self.learn(&mut state.servers, &member)) {
+                    Some(entry) => {
+                        named.push(entry.server);
+                        entries.push(entry);
+                    }
+                    None => whole = false,
                 }
             }
             if update != ListUpdate::Delta {
@@ -474,6 +487,7 @@
             self.pool.keep_only(|id| state.servers.get(&id).is_some_and(|s| s.ready));
         }
         self.feed(Event::Servers { update, entries });
+        whole
     }
 
     /// Takes in one line of a list, unless it makes no sense.
@@ -495,11 +509,13 @@
         if state == ServerState::Gone {
             servers.remove(&server);
         } else {
-            let address = member.host_port.parse().ok().or_else(|| {
+            let ready = state == ServerState::Ready;
+            // A drain holds without an address as well.
+            let known = servers.get(&server).filter(|_| !ready).map(|s| s.address);
+            let address = member.host_port.parse().ok().or(known).or_else(|| {
                 log::warn!("discovery: {} has no address that can be read", member.id);
                 None
             })?;
-            let ready = state == ServerState::Ready;
             servers.insert(server, Fleet { id: member.id.clone(), address, ready });
         }
         let zone = self.names.zones.iter().position(|z| *z == member.locality);
--- a/tests/real.rs
+++ b/tests/real.rs
@@ -425,6 +425,67 @@
     assert_eq!((a.count(), b.count()), (1, 1));
 }
 
+#[test]
+fn a_watch_may_be_laid_out_over_several_lines_and_is_kept() {
+    let (a, b) = (Server::ok(), Server::ok());
+    let (limiter, discovery, _counter) = before(&[&a, &b]);
+    eventually("a watch", || discovery.watching() == 1);
+    assert_eq!(at_once(&limiter, 8), [200; 8]);
+    let line = list(2, false, &[member(&id(0), a.address, "Terminating")]);
+    let laid_out = line.replace('{', "{\n  ").replace(',', ",\n\n    ").replace('}', "\n}");
+    // Cut between two of its lines, as chunks may be.
+    let cut = laid_out.find("\n\n").expect("several lines") + 1;
+    discovery.write(&laid_out[..cut]);
+    discovery.write(&(laid_out[cut..].to_owned() + "\n"));
+    assert_dropped(&a);
+    let at_drain = a.count();
+    assert_eq!(at_once(&limiter, 8), [200; 8]);
+    assert_eq!(a.count(), at_drain);
+    let asked = discovery.asked.lock().expect("a lock").clone();
+    assert_eq!(asked.len(), 1, "the watch was given up: {asked:?}");
+}
+
+#[test]
+fn an_entry_that_cannot_be_read_or_an_object_that_does_not_end_brings_the_whole_list() {
+    let (a, b) = (Server::ok(), Server::ok());
+    let sound = member(&id(1), b.address, "Ready");
+    for bad in [
+        list(2, false, &[r#"{"id":7}"#.into(), sound.clone()]) + "\n",
+        list(2, false, &[member(&id(0), a.address, "Asleep"), sound.clone()]) + "\n",
+        list(2, false, &[member(&id(4), a.address, "Ready").replace("127.0.0.1", "nowhere")]) + "\n",
+        // Ends in the middle, and nothing but empty lines follows.
+        list(2, false, std::slice::from_ref(&sound))[..60].to_owned(),
+        r#"{"revision":2}"#.to_owned() + "\n",
+    ] {
+        let (limiter, discovery, _counter) = before(&[&a]);
+        eventually("a watch", || discovery.watching() == 1);
+        *discovery.list.lock().expect("a lock") = list(9, true, std::slice::from_ref(&sound));
+        let at_first = a.count();
+        discovery.write(&bad);
+        eventually("a new watch", || discovery.watching() == 2);
+        let asked = discovery.asked.lock().expect("a lock").clone();
+        assert!(asked[1].contains("/v1/servers HTTP") && asked[2].contains("since=9"), "{bad:?}: {asked:?}");
+        assert_eq!(limiter.client().look().status(), 200, "{bad:?}");
+        assert_eq!(a.count(), at_first, "{bad:?}: sent to a server that the whole list does not name");
+    }
+}
+
+#[test]
+fn a_whole_list_with_an_entry_that_cannot_be_read_is_asked_for_once() {
+    let a = Server::ok();
+    let (limiter, discovery, _counter) = before(&[&a]);
+    eventually("a watch", || discovery.watching() == 1);
+    let bad = r#"{"id":7}"#.to_owned();
+    *discovery.list.lock().expect("a lock") =
+        list(9, true, &[bad.clone(), member(&id(0), a.address, "Ready")]);
+    discovery.write(&(list(8, false, std::slice::from_ref(&bad)) + "\n"));
+    eventually("a new watch", || discovery.watching() == 2);
+    // A whole list on the watch itself is not asked for again either.
+    discovery.write(&(list(10, true, &[bad, member(&id(0), a.address, "Terminating")]) + "\n"));
+    eventually("the drain", || limiter.client().look().status() != 200);
+    assert_eq!(discovery.asked.lock().expect("a lock").len(), 3);
+}
+
 #[test]
 fn a_watch_without_its_empty_lines_is_opened_anew() {
     let server = Server::ok();
