End without losing what waits: accept to the last, close only what is quiet, count at accept

Found by reading and by tests on sockets. After SIGTERM the listener was closed 0.45 s later (accepting.abort in src/main.rs): what stood in its queue then, as it does where all places are taken, was reset with its request unread. close_idle asked every connection to go, also new ones that had not yet had the time to speak and such whose request stood in the socket: hyper ends a connection on which nothing was seen at once. A connection was counted by its own task (Listed::new in Front::serve), so a burst was accepted whole: with room for 8 clients 85 descriptors were held, and requests then failed for want of connections to servers.

Now the listener stands to the end of the process, which comes when no connection is open at two looks, or at the time set by the longest deadline. Only connections with nothing unread that stand between two requests, or are silent 0.45 s after they came, are closed. Past the time each request is refused at once. Signals that come during the end are taken in: SIGHUP moves discovery and counter, others change nothing. A connection is on the list before the next can be accepted.

--- a/src/main.rs
+++ b/src/main.rs
@@ -9,6 +9,7 @@
 use net::{discovery, keep_running};
 use std::io::Write;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::sync::Mutex;
@@ -33,8 +34,8 @@
 const BACKLOG: u32 = 1024;
 /// Without a word from discovery the limiter serves from its last list after this.
 const LIST_WAIT: Duration = Duration::from_millis(500);
-/// After SIGTERM new connections still come for up to 0.4 s.
-const KEEP_ACCEPTING: Duration = Duration::from_millis(450);
+/// After SIGTERM new connections still come for up to 0.4 s, and none is closed before this without an answer.
+const STILL_COMING: Duration = Duration::from_millis(450);
 /// After SIGTERM all that was taken is answered by the longest deadline, within these bounds, and this more.
 const LONGEST_FINISH: f64 = 3000.0;
 const FINISH_MARGIN: Duration = Duration::from_millis(550);
@@ -120,7 +121,8 @@
     let listener = Rc::new(bind(config.listen)?);
     let address = listener.local_addr()?;
     let accepting = front.clone();
-    let accepting = keep_running("accept", move || accepting.clone().accept(listener.clone()));
+    // To the end of the process: what waits to be accepted when a listener closes is reset, and its requests lost.
+    keep_running("accept", move || accepting.clone().accept(listener.clone()));
     let looking = front.clone();
     keep_running("look round", move || looking.clone().look_round());
     log::info!("{} serves {address}", config.name);
@@ -134,11 +136,18 @@
     let stopped = Instant::now();
     log::info!("{} stops: {} connections, {} owed", config.name, front.open(), driver.owed());
     front.stop();
-    tokio::time::sleep(KEEP_ACCEPTING).await;
-    accepting.abort();
     let longest = config.settings.classes.iter().map(|c| c.deadline).fold(0.0, f64::max);
     let end = stopped + Duration::from_secs_f64(longest.min(LONGEST_FINISH) / 1000.0) + FINISH_MARGIN;
-    finish(&driver, &front, end).await;
+    let mut finished = pin!(finish(&driver, &front, stopped + STILL_COMING, end));
+    loop {
+        // A further signal to end changes nothing: all that was taken is still owed.
+        tokio::select! {
+            () = finished.as_mut() => break,
+            _ = term.recv() => {}
+            _ = interrupt.recv() => {}
+            _ = hangup.recv() => reload(&path, &driver, &mut following),
+        }
+    }
     log::info!("{} ends after {} ms", config.name, stopped.elapsed().as_millis());
     Ok(())
 }
@@ -150,11 +159,16 @@
 }
 
 /// Answers what was taken, and fails what is left at `end`.
-async fn finish(driver: &Rc<Driver>, front: &Rc<Front>, end: Instant) {
-    front.close_idle();
-    while front.open() > 0 && Instant::now() < end {
+async fn finish(driver: &Rc<Driver>, front: &Rc<Front>, still_coming: Instant, end: Instant) {
+    tokio::time::sleep_until(still_coming.into()).await;
+    // Seen empty twice: what was waiting to be accepted at the first look has been accepted by the second.
+    let mut empty = 0;
+    while empty < 2 && Instant::now() < end {
+        front.close_idle();
         tokio::time::sleep(LOOK).await;
+        empty = if front.open() == 0 { empty + 1 } else { 0 };
     }
+    front.refuse_all();
     driver.fail_all();
     let last = Instant::now() + LAST_BYTES;
     while front.open() > 0 && Instant::now() < last {
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -17,6 +17,7 @@
 use std::convert::Infallible;
 use std::future::poll_fn;
 use std::io;
+use std::mem::MaybeUninit;
 use std::net::Shutdown;
 use std::pin::{pin, Pin};
 use std::rc::Rc;
@@ -49,6 +50,8 @@
 const LOOK: Duration = Duration::from_millis(250);
 /// A new connection's first words are waited for this long, ms, before it may have to give way.
 const FIRST_WORDS: Millis = 100.0;
+/// While the limiter ends, a new connection is waited on for its first request this long, ms.
+const FRESH: Millis = 450.0;
 /// Longest wait of a client that is believed, ms: an hour.
 const LONGEST_WAIT: Millis = 3_600_000.0;
 
@@ -75,8 +78,11 @@
 
 /// What is known of one client connection.
 struct Peer {
+    stream: Rc<TcpStream>,
     phase: Cell<Phase>,
     since: Cell<Millis>,
+    /// Something has ever come.
+    heard: Cell<bool>,
     /// Something came while the request before was in hand: the next one has begun.
     ahead: Cell<bool>,
     leave: Notify,
@@ -91,7 +97,8 @@
     }
 
     /// Bytes have come.
-    fn heard(&self, now: Millis) {
+    fn hear(&self, now: Millis) {
+        self.heard.set(true);
         match self.phase.get() {
             Phase::Idle => self.enter(Phase::Reading, now),
             Phase::Busy | Phase::Writing => self.ahead.set(true),
@@ -116,6 +123,19 @@
         }
     }
 
+    /// Nothing stands in the socket that has not been read yet: a busy machine may not have come to it.
+    fn all_read(&self) -> bool {
+        let peeked = SockRef::from(&*self.stream).peek(&mut [MaybeUninit::uninit()]);
+        !matches!(peeked, Ok(1..))
+    }
+
+    /// Owes nothing and has begun nothing: between two requests, or new and silent for as long as that.
+    fn quiet(&self, now: Millis) -> bool {
+        let fresh = self.phase.get() == Phase::Reading && !self.heard.get();
+        let idle = self.phase.get() == Phase::Idle || fresh && now - self.since.get() > FRESH;
+        idle && self.all_read()
+    }
+
     fn drop_now(&self) {
         self.over.set(true);
         self.leave.notify_one();
@@ -127,6 +147,7 @@
         let since = self.since.get();
         match self.phase.get() {
             Phase::Busy | Phase::Writing => None,
+            Phase::Idle | Phase::Reading if !self.all_read() => None,
             Phase::Reading if now - since > FIRST_WORDS => Some((0, since)),
             Phase::Idle => Some((1, since)),
             Phase::Reading => Some((2, since)),
@@ -150,7 +171,7 @@
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
                 done => {
                     if matches!(done, Ok(n) if n > 0) {
-                        self.peer.heard(self.driver.now());
+                        self.peer.hear(self.driver.now());
                     }
                     return Poll::Ready(done.map(drop));
                 }
@@ -262,6 +283,7 @@
     most: usize,
     next: Cell<u64>,
     stopping: Cell<bool>,
+    over: Cell<bool>,
     /// All connections have a request in hand and another waits to be accepted.
     crowded: Cell<bool>,
     left: Notify,
@@ -277,6 +299,7 @@
             most,
             next: Cell::new(0),
             stopping: Cell::new(false),
+            over: Cell::new(false),
             crowded: Cell::new(false),
             left: Notify::new(),
         })
@@ -293,8 +316,9 @@
             self.crowded.set(false);
             match listener.accept().await {
                 Ok((stream, _)) => {
-                    self.next.set(self.next.get() + 1);
-                    tokio::task::spawn_local(self.clone().serve(stream, self.next.get()));
+                    // Counted before anything else can be accepted: a burst must not pass the bound.
+                    let listed = Listed::new(self.clone(), stream);
+                    tokio::task::spawn_local(self.clone().serve(listed));
                 }
                 Err(e) => {
                     log::warn!("accept: {e}");
@@ -325,6 +349,7 @@
             let now = self.driver.now();
             for peer in self.peers.borrow().values().filter(|p| now - p.since.get() > p.limit()) {
                 match peer.phase.get() {
+                    Phase::Idle if !peer.all_read() => {}
                     Phase::Idle => peer.leave.notify_one(),
                     _ => peer.drop_now(),
                 }
@@ -337,9 +362,15 @@
         self.stopping.set(true);
     }
 
-    /// Closes connections as soon as they owe nothing.
+    /// Closes the connections that owe nothing and on which nothing has begun.
     pub fn close_idle(&self) {
-        self.peers.borrow().values().for_each(|peer| peer.leave.notify_one());
+        let now = self.driver.now();
+        self.peers.borrow().values().filter(|p| p.quiet(now)).for_each(|peer| peer.leave.notify_one());
+    }
+
+    /// From now on a request is refused at once: there is no time left to serve it.
+    pub fn refuse_all(&self) {
+        self.over.set(true);
     }
 
     /// Connections that are open.
@@ -347,18 +378,11 @@
         self.peers.borrow().len()
     }
 
-    async fn serve(self: Rc<Self>, stream: TcpStream, number: u64) {
+    async fn serve(self: Rc<Self>, listed: Listed) {
+        let peer = listed.peer.clone();
+        let stream = peer.stream.clone();
         // An answer is one small write, and is wanted now.
         let _ = stream.set_nodelay(true);
-        let peer = Rc::new(Peer {
-            phase: Cell::new(Phase::Reading),
-            since: Cell::new(self.driver.now()),
-            ahead: Cell::new(false),
-            leave: Notify::new(),
-            over: Cell::new(false),
-        });
-        let _listed = Listed::new(self.clone(), number, peer.clone());
-        let stream = Rc::new(stream);
         let service = service_fn(|request| {
             let (front, peer) = (self.clone(), peer.clone());
             async move {
@@ -416,7 +440,11 @@
             });
         }
         let (request, headers) = self.read(&head)?;
+        // Dropped at this await, nothing has been taken on yet.
         let body = read_body(body).await?;
+        if self.over.get() {
+            return Err((StatusCode::SERVICE_UNAVAILABLE, "ending\n"));
+        }
         if head.method == Method::GET && !body.is_empty() {
             return Err(bad("no body is wanted\n"));
         }
@@ -432,7 +460,8 @@
         peer.enter(Phase::Busy, self.driver.now());
         let (id, receiver) = self.driver.arrive(Arrival { request, forward });
         let mut watch = Watch { driver: &self.driver, id, answered: false };
-        // The sender is only lost with the request's entry, and that is a defect: it has then failed.
+        // Dropped at this await, the watch tells the driver that the client has left. The sender is only lost
+        // with the request's entry, and that is a defect: it has then failed.
         let answer = receiver.await.unwrap_or(Answer::Failed);
         watch.answered = true;
         Ok(respond(answer))
@@ -496,12 +525,24 @@
 struct Listed {
     front: Rc<Front>,
     number: u64,
+    peer: Rc<Peer>,
 }
 
 impl Listed {
-    fn new(front: Rc<Front>, number: u64, peer: Rc<Peer>) -> Self {
-        front.peers.borrow_mut().insert(number, peer);
-        Listed { front, number }
+    fn new(front: Rc<Front>, stream: TcpStream) -> Self {
+        let number = front.next.get() + 1;
+        front.next.set(number);
+        let peer = Rc::new(Peer {
+            stream: Rc::new(stream),
+            phase: Cell::new(Phase::Reading),
+            since: Cell::new(front.driver.now()),
+            heard: Cell::new(false),
+            ahead: Cell::new(false),
+            leave: Notify::new(),
+            over: Cell::new(false),
+        });
+        front.peers.borrow_mut().insert(number, peer.clone());
+        Listed { front, number, peer }
     }
 }
 
--- a/tests/fakes/mod.rs
+++ b/tests/fakes/mod.rs
@@ -444,7 +444,7 @@
         self.signal("-HUP");
     }
 
-    fn signal(&self, name: &str) {
+    pub fn signal(&self, name: &str) {
         let pid = self.child.id().to_string();
         assert!(Command::new("kill").args([name, &pid]).status().expect("kill").success());
     }
