Let a connection to a server rest before it is used again

A server may send its answer a second time some milliseconds late. On a connection that had been given the next request by then, the copy was taken for the answer to that request: another request's answer. The look at the socket before the first byte (Noted::check) cannot see what is still on its way. At fault: Pool::take in src/net/upstream.rs, which took the connection that had just come back.

A connection now rests for 20 ms, several times what was seen; another one serves meanwhile. Connections that no longer stand are dropped on the way, also those behind the one that is taken. Test on the pool with a hand-fed clock. The test of reuse asked five times back to back and counted one connection; it now leaves a pause between two requests and still counts exactly one.

--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -39,6 +39,11 @@
 /// a request that crosses with the close is lost.
 const IDLE_SHARE: f64 = 0.6;
 
+/// A connection rests this long, ms, after an answer: a server may send that answer a second time some
+/// milliseconds later (1 to 3 were seen), and to a request that was on the connection by then the copy would
+/// look like its own. Another connection serves meanwhile.
+const REST: Millis = 20.0;
+
 const LOAD: HeaderName = HeaderName::from_static("x-backend-load");
 const NOT_RUN: HeaderName = HeaderName::from_static("x-unprocessed");
 const TIME_LEFT: HeaderName = HeaderName::from_static("x-time-left");
@@ -206,16 +211,17 @@
         }
     }
 
-    /// The most recently used connection that still stands.
+    /// The most recently used connection that still stands and has rested.
     fn take(&self, server: ServerId, address: SocketAddr, now: Millis) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
         let waiting = idle.get_mut(&server)?;
-        while let Some(c) = waiting.pop() {
-            if c.address == address && !c.sender.is_closed() && now - c.idle_since < self.longest_idle {
-                return Some(c);
-            }
-        }
-        None
+        let stands = |c: &Connection| {
+            c.address == address && !c.sender.is_closed() && now - c.idle_since < self.longest_idle
+        };
+        waiting.retain(stands);
+        // They stand in the order in which they came back.
+        let rested = waiting.iter().rposition(|c| now - c.idle_since >= REST)?;
+        Some(waiting.remove(rested))
     }
 
     fn put(&self, server: ServerId, mut connection: Connection, now: Millis) {
@@ -438,6 +444,29 @@
         }
     }
 
+    #[test]
+    fn a_connection_rests_before_it_is_used_again_and_the_last_that_has_rested_is_taken() {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("an address");
+        tokio::task::LocalSet::new().block_on(&runtime, async {
+            let (pool, server) = (Pool::new(15_000.0, 1000.0, 8), ServerId(1));
+            for back in [100.0, 110.0] {
+                let connection = pool.connect(address).await.expect("a connection");
+                pool.put(server, connection, back);
+            }
+            assert!(pool.take(server, address, 100.0 + REST - 0.1).is_none(), "not rested");
+            let first = pool.take(server, address, 100.0 + REST).expect("one that has rested");
+            assert_eq!(first.idle_since, 100.0);
+            pool.put(server, first, 100.0 + REST);
+            let other = pool.take(server, address, 100.0 + 2.0 * REST).expect("one that has rested");
+            assert_eq!(other.idle_since, 100.0 + REST);
+            // One that has stood too long is not kept either.
+            assert!(pool.take(server, address, 110.0 + 15_000.0 * IDLE_SHARE).is_none());
+            assert_eq!(pool.open.get(), 1, "its place is free");
+        });
+    }
+
     #[test]
     fn load_reports_follow_the_settings_order_and_nonsense_is_dropped() {
         let columns = ["queue".to_owned(), "util".to_owned()];
--- a/tests/real.rs
+++ b/tests/real.rs
@@ -283,6 +283,8 @@
     let mut client = limiter.client();
     for _ in 0..5 {
         assert_eq!(client.look().status(), 200);
+        // A connection rests after an answer, in case that comes twice.
+        std::thread::sleep(Duration::from_millis(60));
     }
     assert_eq!(server.connections.load(Ordering::SeqCst), 1, "one after the other needs one connection");
     let quiet = server.closed.recv_timeout(PATIENCE).expect("a closed connection");
