Use the counter's late answers, and refuse at once what the ceiling cannot bear in time

Ruled out: calls that went astray (answers came in order), the module's sums (with a counter that bears all calls the fleet of the new test lets less through than a policy that sees the stores 0.5 s late). At fault: Due::Call in the driver at the settings' counter_timeout, though the counter answers however late (the time-out is the simulator's); SLOW_CALL of that time-out, under which no call was ever quick; Verdict::Wait for a part of the ceiling that cannot fill in time.

A call, and a request that it decides, is now waited for up to a quarter of the (shortest) aim, 0.8 s at most and the time-out at least. A request whose gateway's part of the ceiling fills too late is refused when that is known, with Retry-After by when it fills.

tests/quota.rs plays 100 gateways on one counter. Tests in logic.rs and real.rs fail without the change. The test of a late answer that is dropped now has it come after the longer wait.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -38,7 +38,7 @@
 /// request, the other under a ceiling: what a gateway sees of it then comes too rarely to be batched.
 const THIN: f64 = 0.75;
 const THIN_CAPPED: f64 = 2.0;
-/// A call is slow past this share of its time-out.
+/// A call is slow past this share of the time for which it is waited for.
 const SLOW_CALL: f64 = 0.2;
 /// Longest pause between calls to a failing counter, ms: it is noticed again within this.
 const MAX_BACKOFF: Millis = 800.0;
@@ -61,7 +61,7 @@
 const PACE_SHARE: f64 = 4.0;
 /// Period of the housekeeping timer, ms: short beside any aim.
 const TICK: Millis = 20.0;
-/// A request waiting for the counter is decided without it after a call's time-out, or this share of its aim.
+/// A call and the request it decides are waited for up to this share of an aim: an answer comes, if late.
 const COUNT_SHARE: f64 = 0.25;
 /// Weight of a new sample in a server's or class's mean answer time: about the last ten.
 const MEAN_GAIN: f64 = 0.1;
@@ -102,6 +102,12 @@
 const ACCEPTED: usize = 0;
 const DECLINED: usize = 1;
 
+/// How long a call to the counter is waited for.
+pub fn patience(set: &Settings) -> Millis {
+    let aim = set.classes.iter().map(|c| c.aim).fold(f64::INFINITY, f64::min);
+    (COUNT_SHARE * aim).min(MAX_BACKOFF).max(set.counter_timeout)
+}
+
 impl Customer {
     fn new(plan: Plan, spread: f64, most: f64, began: Millis, now: Millis) -> Self {
         let epoch = (now / EPOCH).floor() as i64;
@@ -110,16 +116,7 @@
         let spread = spread.max(1.0);
         let few = if plan.ceiling_rate > 0.0 { THIN_CAPPED } else { THIN };
         let thin = plan.rate > 0.0 && plan.burst < few * spread * most;
-        Customer {
-            plan,
-            spread,
-            touched: now,
-            tallies,
-            last_sync,
-            drained_at: began,
-            thin,
-            ..Self::default()
-        }
+        Customer { plan, spread, tallies, last_sync, drained_at: began, thin, ..Self::default() }
     }
 
     fn window(&self) -> Millis {
@@ -150,6 +147,13 @@
             .clamp(1.0 / (4.0 * self.spread), 1.0)
     }
 
+    /// When this gateway's part of the ceiling will hold so many units, from now.
+    fn lease_in(&self, units: f64) -> Millis {
+        let rate = self.plan.ceiling_rate;
+        let missing = if rate > 0.0 { units - self.lease } else { 0.0 };
+        1000.0 * missing.max(0.0) * self.spread / rate.max(f64::MIN_POSITIVE)
+    }
+
     /// The pace of this customer's calls: one far from its quota gives way to those near it, of which an
     /// old view costs most.
     fn pace(&self, pace: f64) -> f64 {
@@ -362,12 +366,21 @@
     fn decide(&mut self, now: Millis, id: RequestId) {
         match self.admit(now, id) {
             Verdict::Refuse => self.finish(now, id),
+            Verdict::Wait if !self.worth_waiting(now, id) => self.finish(now, id),
             Verdict::Wait => self.hold(id),
             Verdict::Within if !self.place(now, id) => self.hold(id),
             Verdict::Within => {}
         }
     }
 
+    /// A request not sent yet can still meet its aim, and the ceiling will bear it in time.
+    fn worth_waiting(&self, now: Millis, id: RequestId) -> bool {
+        let Some(open) = self.open.get(&id) else { return false };
+        let customer = self.customers.get(&open.request.customer).filter(|_| open.attempts.is_empty());
+        let lease = customer.map_or(0.0, |c| c.lease_in(open.request.units));
+        open.aim_at - now >= 2.0 * (self.mean(open) + TICK) + lease
+    }
+
     fn hold(&mut self, id: RequestId) {
         if !self.held.contains(&id) {
             self.held.push(id);
@@ -388,8 +401,7 @@
         }
         // A gateway's part of the ceiling is its own, empty at first: danger is that many do not hear each
         // other, restart, or find the counter down. It hurts traffic gathered on one gateway, which waits.
-        let short = plan.ceiling_rate > 0.0 && c.lease < units;
-        if short {
+        if c.lease_in(units) > 0.0 {
             return Verdict::Wait;
         }
         if plan.max_open > 0.0 {
@@ -515,7 +527,7 @@
 
     fn counted(&mut self, now: Millis, name: CountName, outcome: Outcome, took: Millis, total: f64) {
         let ok = outcome == Outcome::Ok;
-        let slow = took > SLOW_CALL * self.set.counter_timeout;
+        let slow = took > SLOW_CALL * patience(&self.set);
         let flow = &mut self.flow;
         if ok {
             (flow.count_pause, flow.count_after, flow.count_ok_at, flow.silent) = (0.0, 0.0, now, false);
@@ -551,11 +563,8 @@
         } else {
             let t = &mut c.tallies[kind];
             let sent = t.in_flight.take().unwrap_or(0.0);
-            *if matches!(outcome, Outcome::TimedOut | Outcome::Reset) {
-                &mut t.doubt
-            } else {
-                &mut t.pending
-            } += sent;
+            let lost = matches!(outcome, Outcome::TimedOut | Outcome::Reset);
+            *(if lost { &mut t.doubt } else { &mut t.pending }) += sent;
         }
     }
 
@@ -563,8 +572,7 @@
 
     fn list(&mut self, now: Millis, update: ListUpdate, entries: Vec<ServerEntry>) {
         if update == ListUpdate::Failed {
-            self.acts.push(Action::Watch);
-            return;
+            return self.acts.push(Action::Watch);
         }
         if update != ListUpdate::Delta {
             let named: Vec<ServerId> = entries.iter().map(|e| e.server).collect();
@@ -634,9 +642,8 @@
                 Repeat::Keyed { group: Group::Cell, .. } => bound.is_some_and(|b| b.1 == s.entry.cell),
                 repeat => repeat != Repeat::Unsafe,
             };
-            if ran.is_some() && !allowed
-                || open.attempts.iter().any(|a| a.server == id && (a.live || ready > 1))
-            {
+            let met = open.attempts.iter().any(|a| a.server == id && (a.live || ready > 1));
+            if met || ran.is_some() && !allowed {
                 continue;
             }
             // Ejection holds while half of the fleet is sound; past that, slowness is everyone's and only
@@ -694,9 +701,8 @@
             }
         }
         // A call that was given up took at least this long; one that ended early tells nothing of speed.
-        if matches!(outcome, Outcome::Ok | Outcome::TimedOut)
-            || outcome == Outcome::Cancelled && took > s.mean
-        {
+        let given_up = outcome == Outcome::Cancelled && took > s.mean;
+        if given_up || matches!(outcome, Outcome::Ok | Outcome::TimedOut) {
             // With few samples an attempt that found no end may be the only sign of a slow server.
             let gain = if outcome == Outcome::Ok || !rare { MEAN_GAIN } else { LOST_GAIN };
             s.mean = if s.mean > 0.0 { s.mean + gain * (took - s.mean) } else { took };
@@ -744,21 +750,19 @@
         let mut order: Vec<(f64, RequestId)> = Vec::new();
         for id in std::mem::take(&mut self.held) {
             let Some(open) = self.open.get(&id) else { continue };
-            let mean = self.mean(open);
-            if open.aim_at - now < 2.0 * mean + 2.0 * TICK {
+            if !self.worth_waiting(now, id) {
                 self.finish(now, id);
                 continue;
             }
             let price = self.set.plans.get(open.request.plan.0).map_or(1.0, |p| p.price);
-            let worth = open.class.worth * price * open.request.units / mean.max(1.0);
+            let worth = open.class.worth * price * open.request.units / self.mean(open).max(1.0);
             // Newer first among equals: under pressure the oldest would only just miss their aim.
             order.push((worth * (1.2 - (now - open.arrived) / (open.aim_at - open.arrived)), id));
         }
         order.sort_by(|a, b| b.0.total_cmp(&a.0).then(b.1.cmp(&a.1)));
         for (place, (_, id)) in order.into_iter().enumerate() {
-            if (!self.flow.subset || self.flow.out >= self.flow.limit)
-                && place as f64 > HELD_SHARE * self.flow.limit
-            {
+            let full = !self.flow.subset || self.flow.out >= self.flow.limit;
+            if full && place as f64 > HELD_SHARE * self.flow.limit {
                 self.finish(now, id);
             } else if self.open.get(&id).is_some_and(|o| o.attempts.is_empty()) {
                 self.decide(now, id);
@@ -857,7 +861,7 @@
         let units = open.request.units;
         let short = if c.thin { units } else { (c.used + units - c.plan.burst).max(0.0) };
         let refill = if c.plan.rate > 0.0 { 1000.0 * short / c.plan.rate } else { 0.0 };
-        refill.max(self.mean(open)).min(self.set.max_retry_after)
+        refill.max(c.lease_in(units)).max(self.mean(open)).min(self.set.max_retry_after)
     }
 
     /// Forgets customers that have not come for long, some at a time.
--- a/src/logic/thin.rs
+++ b/src/logic/thin.rs
@@ -141,8 +141,7 @@
     pub(super) fn admit_thin(&mut self, now: Millis, id: RequestId, roll: f64) -> Verdict {
         let Some(open) = self.open.get_mut(&id) else { return Verdict::Refuse };
         let Some(c) = self.customers.get_mut(&open.request.customer) else { return Verdict::Refuse };
-        let patience = self.set.counter_timeout.min(COUNT_SHARE * open.class.aim);
-        if open.asked && now - open.arrived < patience {
+        if open.asked && now - open.arrived < COUNT_SHARE * open.class.aim {
             return Verdict::Wait;
         }
         let plan = c.plan.clone();
--- a/src/net/counter.rs
+++ b/src/net/counter.rs
@@ -19,8 +19,10 @@
 /// Answers owed on a connection past which further calls are turned away: bounds what is kept for a
 /// counter that has fallen silent.
 const MOST_OWED: usize = 512;
-/// A connection whose oldest answer is owed for longer than this is dead.
-const DEAD_AFTER: Duration = Duration::from_millis(1000);
+/// A connection whose oldest answer is owed for longer than this, ms, is dead; where a call may be waited for
+/// for almost as long, for longer than this multiple of that.
+const DEAD_AFTER: Millis = 1000.0;
+const DEAD_MULTIPLE: f64 = 1.25;
 /// An idle connection is spoken on this often, ms, before the counter closes it.
 const PING: Millis = 2000.0;
 /// Time for a connection to come up.
@@ -88,17 +90,19 @@
     /// Calls whose end the module has not been told.
     waiting: RefCell<HashMap<u64, (CountName, Millis)>>,
     next: Cell<u64>,
+    dead_after: Millis,
 }
 
 impl Counter {
-    /// A counter with all connections down.
-    pub fn new(address: Option<SocketAddr>) -> Self {
+    /// A counter with all connections down, each call to which is waited for so long.
+    pub fn new(address: Option<SocketAddr>, patience: Millis) -> Self {
         Counter {
             address: Cell::new(address),
             links: RefCell::default(),
             moved: std::array::from_fn(|_| Notify::new()),
             waiting: RefCell::default(),
             next: Cell::new(0),
+            dead_after: DEAD_AFTER.max(DEAD_MULTIPLE * patience),
         }
     }
 
@@ -152,7 +156,7 @@
         for link in self.links.borrow().iter().flatten() {
             let oldest = link.queue.borrow().owed.front().map(|o| now - o.at);
             match oldest {
-                Some(age) if age > DEAD_AFTER.as_secs_f64() * 1000.0 => {
+                Some(age) if age > self.dead_after => {
                     link.dead.set(true);
                     link.woken.notify_one();
                 }
@@ -235,6 +239,7 @@
     let mut line = Vec::new();
     let mut piece = [0u8; 2048];
     let mut out = Vec::new();
+    let last = Duration::from_secs_f64(driver.counter().dead_after / 1000.0);
     loop {
         {
             let mut queue = link.queue.borrow_mut();
@@ -273,7 +278,7 @@
                 }
             }
             () = link.woken.notified() => {}
-            () = tokio::time::sleep(DEAD_AFTER), if link.retired.get() => return Err("no answer".into()),
+            () = tokio::time::sleep(last), if link.retired.get() => return Err("no answer".into()),
         }
     }
 }
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -19,7 +19,7 @@
 use tokio::sync::{oneshot, Notify};
 use tokio::task::AbortHandle;
 use topazwind::interface::*;
-use topazwind::logic::Gateway;
+use topazwind::logic::{patience, Gateway};
 
 /// What is left for an answer's way back, ms: a client counts its wait from when it sent the request.
 const WAY_BACK: Millis = 20.0;
@@ -137,6 +137,7 @@
     names: Names,
     settings: Settings,
     drain_grace: Duration,
+    call_patience: Millis,
     state: RefCell<State>,
     events: RefCell<VecDeque<Event>>,
     feeding: Cell<bool>,
@@ -152,6 +153,7 @@
     /// A driver that already knows the list of servers in the configuration.
     pub fn new(config: &Config, most_upstream: usize) -> Rc<Self> {
         let clock = Clock::new();
+        let call_patience = patience(&config.settings);
         let state = State {
             gateway: Gateway::new(config.settings.clone(), config.seed),
             actions: Vec::new(),
@@ -164,6 +166,7 @@
             clock,
             names: config.names.clone(),
             settings: config.settings.clone(),
+            call_patience,
             drain_grace: Duration::from_secs_f64(config.drain_grace / 1000.0),
             state: RefCell::new(state),
             events: RefCell::default(),
@@ -172,7 +175,7 @@
             sooner: Notify::new(),
             ready: Cell::new(false),
             pool: Pool::new(config.conn_idle, config.connect_timeout, most_upstream),
-            counter: Counter::new(config.counter),
+            counter: Counter::new(config.counter, call_patience),
         });
         if let Some(known) = &config.known {
             driver.list(known, ListUpdate::Cached);
@@ -289,7 +292,7 @@
             Action::Count { name, add, ttl } => {
                 let now = self.now();
                 match self.counter.call(name, add, ttl, now) {
-                    Ok(call) => self.arm(now + self.settings.counter_timeout, Due::Call(call)),
+                    Ok(call) => self.arm(now + self.call_patience, Due::Call(call)),
                     Err(outcome) => self.later(Event::Counted { name, outcome, took: 0.0, total: 0.0 }),
                 }
             }
--- a/tests/logic.rs
+++ b/tests/logic.rs
@@ -415,15 +415,62 @@
 }
 
 #[test]
-fn a_count_is_waited_for_as_long_as_the_settings_let_a_call_take_but_not_for_most_of_the_aim() {
-    // Of a call that takes up to 100 ms, and of one that may take far longer than the aim of 500 ms.
-    for (timeout, until) in [(100.0, 100.0), (5000.0, 125.0)] {
+fn a_count_is_waited_for_up_to_a_quarter_of_the_aim_however_long_a_call_may_take() {
+    // The aim is 500 ms. A simulated call ends at its time-out, and with it the wait; a real one is answered.
+    for timeout in [30.0, 100.0, 5000.0] {
         let mut rig = Rig::new(Settings { counter_timeout: timeout, ..crowd(4.0, 10.0) }, 4);
         ask_thin(&mut rig, 1000.0, 0);
-        let before = rig.feed(1000.0 + until - 1.0, Event::Timer(0));
-        assert!(sent(&before).is_none(), "decided before {until} ms");
-        let after = rig.feed(1000.0 + until, Event::Timer(0));
-        assert!(sent(&after).is_some(), "not decided after {until} ms");
+        assert!(sent(&rig.feed(1124.0, Event::Timer(0))).is_none(), "decided early, time-out {timeout} ms");
+        assert!(sent(&rig.feed(1125.0, Event::Timer(0))).is_some(), "held for long, time-out {timeout} ms");
+        let (_, actions) = ask_thin(&mut rig, 2000.0, 1);
+        let (name, add) = counts(&actions)[0];
+        let event = Event::Counted { name, outcome: Outcome::Ok, took: 100.0, total: 1000.0 + add };
+        assert!(refused(&rig.feed(2100.0, event)), "an answer after 100 ms decides, time-out {timeout} ms");
+        let mut rig = Rig::new(Settings { counter_timeout: timeout, ..crowd(4.0, 10.0) }, 4);
+        let (_, actions) = ask_thin(&mut rig, 2000.0, 1);
+        let (name, _) = counts(&actions)[0];
+        let event = Event::Counted { name, outcome: Outcome::TimedOut, took: 30.0, total: 0.0 };
+        assert!(sent(&rig.feed(2030.0, event)).is_some(), "a call that is given up holds nothing up");
+    }
+    for (aims, timeout, patience) in
+        [(vec![500.0, 8000.0], 30.0, 125.0), (vec![400.0], 900.0, 900.0), (vec![60_000.0], 30.0, 800.0)]
+    {
+        let classes = aims.into_iter().map(|aim| Class { aim, ..Class::default() }).collect();
+        let set = Settings { classes, counter_timeout: timeout, ..settings() };
+        assert_eq!(topazwind::logic::patience(&set), patience);
+    }
+}
+
+#[test]
+fn a_request_that_its_part_of_the_ceiling_cannot_bear_in_time_is_refused_at_once_and_told_when_to_come() {
+    for gateways in [3.0, 300.0] {
+        // A part of the ceiling's store of two units, which takes 5 s for another.
+        let (rate, burst) = (0.2 * gateways, 2.0 * gateways);
+        let ceiling = Plan { ceiling_rate: rate, ceiling_burst: burst, ..Plan::default() };
+        let plan = Plan { rate: 0.9 * rate, burst: 0.9 * burst, price: 1.0, ..ceiling };
+        let set = Settings { gateways, plans: vec![plan], counter: false, ..settings() };
+        let set = Settings { retry_after: true, max_retry_after: 60_000.0, ..set };
+        let mut rig = Rig::new(set, gateways as u32);
+        let mut ask = |now: f64| {
+            let id = RequestId(rig.next);
+            rig.next += 1;
+            let request =
+                Request { id, units: 1.0, time_left: 1500.0, spread: gateways, ..Request::default() };
+            let actions = rig.feed(now, Event::Request(request));
+            (sent(&actions).is_some(), actions)
+        };
+        assert!(ask(60_000.0).0 && ask(60_000.0).0, "the store is full at first");
+        let (passed, actions) = ask(60_000.0);
+        assert!(!passed && refused(&actions), "held though nothing can come of it");
+        let wait = actions.iter().find_map(|a| match a {
+            Action::Refuse { retry_after, .. } => Some(*retry_after),
+            _ => None,
+        });
+        assert!(wait.is_some_and(|w| (4900.0..5100.0).contains(&w)), "told to wait {wait:?} ms");
+        // What the store will hold soon enough is waited for.
+        let (passed, actions) = ask(64_900.0);
+        assert!(!passed && !refused(&actions), "not worth a wait of 100 ms");
+        assert!(sent(&rig.feed(65_010.0, Event::Timer(0))).is_some());
     }
 }
 
--- /dev/null
+++ b/tests/quota.rs
@@ -0,0 +1,413 @@
+//! What a fleet lets through beyond its customers' quotas: many gateways on one simulated counter that is slow,
+//! bears fewer calls than there are requests and falls silent for a while, beside a policy that sees the true
+//! state of all quotas half a second late. Simulated time and fixed seeds: the figures are the same each run.
+
+use rand_core::{RngCore, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap, VecDeque};
+use topazwind::interface::*;
+use topazwind::logic::{patience, Gateway};
+
+/// How long a day lasts, ms, and the share of it at the start that does not count.
+const DAY: Millis = 30_000.0;
+/// How late the reference policy sees the quotas, ms.
+const LATE: Millis = 500.0;
+/// A server's answer takes this long, ms.
+const WORK: Millis = 40.0;
+
+/// A deployment's traffic and its counter.
+struct World {
+    gateways: usize,
+    plans: Vec<Plan>,
+    /// Customers of each plan.
+    customers: Vec<usize>,
+    /// Calls that the counter bears a second, the time each takes at least, ms, and its time-out, ms.
+    calls_a_second: f64,
+    call_takes: Millis,
+    call_timeout: Millis,
+    /// The counter answers nothing in this span, ms.
+    silent: std::ops::Range<Millis>,
+    seed: u64,
+}
+
+struct Dice(Pcg64Mcg);
+
+impl Dice {
+    fn roll(&mut self) -> f64 {
+        (self.0.next_u64() >> 11) as f64 / (1u64 << 53) as f64
+    }
+
+    fn between(&mut self, least: f64, most: f64) -> f64 {
+        least + (most - least) * self.roll()
+    }
+
+    /// Time to the next of events that come at a rate, ms.
+    fn wait(&mut self, a_second: f64) -> Millis {
+        -1000.0 * (1.0 - self.roll()).ln() / a_second
+    }
+}
+
+/// A quota as the operators count it.
+#[derive(Clone)]
+struct Store {
+    holds: f64,
+    at: Millis,
+}
+
+impl Store {
+    fn fill(&mut self, plan: &Plan, now: Millis) {
+        self.holds = (self.holds + (now - self.at) * plan.rate / 1000.0).min(plan.burst);
+        self.at = now;
+    }
+
+    /// Takes a unit if it is there.
+    fn take(&mut self, plan: &Plan, now: Millis) -> bool {
+        self.fill(plan, now);
+        let inside = self.holds >= 1.0;
+        self.holds -= if inside { 1.0 } else { 0.0 };
+        inside
+    }
+}
+
+/// What came of a policy, as shares of the worth asked inside the quotas.
+#[derive(Clone, Copy, Debug)]
+struct Account {
+    /// Sent on inside the quotas.
+    inside: f64,
+    /// Cost of what was sent on beyond them, less what it earned.
+    beyond: f64,
+}
+
+/// Books what a policy sends on, and when.
+struct Books {
+    stores: Vec<Store>,
+    inside: f64,
+    beyond: f64,
+}
+
+impl Books {
+    fn new(world: &World, plan_of: &[usize]) -> Self {
+        let store = |p: &usize| Store { holds: world.plans[*p].burst, at: 0.0 };
+        Books { stores: plan_of.iter().map(store).collect(), inside: 0.0, beyond: 0.0 }
+    }
+
+    fn send(&mut self, plan: &Plan, customer: usize, now: Millis) {
+        if self.stores[customer].take(plan, now) {
+            self.inside += plan.price;
+        } else {
+            self.beyond += plan.price * (plan.over_cost - plan.over_worth);
+        }
+    }
+}
+
+/// The requests of a day in order: when, whose, at which gateway.
+fn arrivals(world: &World, plan_of: &[usize], dice: &mut Dice) -> Vec<(Millis, usize, usize)> {
+    let mut all = Vec::new();
+    for (customer, plan) in plan_of.iter().enumerate() {
+        let rate = world.plans[*plan].rate;
+        let kind = dice.roll();
+        // Most use a part of their quota, some nearly all, some far more all the time or in spikes.
+        let (usual, spike) = match kind {
+            k if k < 0.12 => (dice.between(0.85, 1.0), 1.0),
+            k if k < 0.22 => (dice.between(1.5, 4.0), 1.0),
+            k if k < 0.4 => (dice.between(0.26, 0.47), dice.between(2.1, 7.7)),
+            _ => (dice.between(0.26, 0.47), 1.0),
+        };
+        let mut at = dice.wait(rate);
+        let (mut turn, mut high, mut home) = (dice.between(0.0, 20_000.0), false, dice.roll());
+        while at < DAY {
+            if at > turn {
+                high = !high && spike > 1.0;
+                turn = at + if high { dice.between(1300.0, 5000.0) } else { dice.between(8700.0, 20_000.0) };
+                home = dice.roll();
+            }
+            // Uneven: the gateways next to the busiest see several times the mean.
+            let off = dice.roll().powi(2);
+            let gateway = ((home + off) * world.gateways as f64) as usize % world.gateways;
+            all.push((at, customer, gateway));
+            at += dice.wait(rate * if high { spike } else { usual });
+        }
+    }
+    all.sort_by(|a, b| a.0.total_cmp(&b.0));
+    all
+}
+
+/// A policy that sees every store as it was a moment ago, and lets in what it then held, or what earns more
+/// beyond a quota than it costs.
+fn seen_late(world: &World, plan_of: &[usize], arrivals: &[(Millis, usize, usize)]) -> Books {
+    let mut books = Books::new(world, plan_of);
+    let mut past: Vec<VecDeque<(Millis, f64)>> = plan_of.iter().map(|_| VecDeque::new()).collect();
+    for (now, customer, _) in arrivals {
+        let plan = &world.plans[plan_of[*customer]];
+        let past = &mut past[*customer];
+        while past.get(1).is_some_and(|(at, _)| *at <= now - LATE) {
+            past.pop_front();
+        }
+        let seen = past.front().filter(|(at, _)| *at <= now - LATE);
+        let held = seen
+            .map_or(plan.burst, |(at, held)| (held + (now - LATE - at) * plan.rate / 1000.0).min(plan.burst));
+        if held >= 1.0 || plan.over_worth > plan.over_cost {
+            books.send(plan, *customer, *now);
+            past.push_back((*now, books.stores[*customer].holds));
+        }
+    }
+    books
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Due {
+    /// A gateway's timer.
+    Tick(usize),
+    /// A call's answer, or the end of waiting for it.
+    Answer(u64),
+    /// The answer of a server to a request of a gateway.
+    Served(usize, u32),
+}
+
+/// One counter, whose two parts answer calls in turn and turn away those for whom the line is too long.
+struct Counter {
+    totals: HashMap<CountName, f64>,
+    free_at: [Millis; 2],
+    calls: HashMap<u64, (usize, Millis, CountName, Outcome, f64)>,
+    next: u64,
+    made: usize,
+    /// Whoever calls waits this long, ms.
+    patience: Millis,
+}
+
+impl Counter {
+    /// Takes a call, and tells when it ends.
+    fn call(
+        &mut self,
+        world: &World,
+        now: Millis,
+        gateway: usize,
+        name: CountName,
+        add: f64,
+    ) -> (Millis, Due) {
+        self.made += 1;
+        let part = (name.0 >> 7) as usize % 2;
+        let begins = self.free_at[part].max(now);
+        let (at, outcome, total) = if world.silent.contains(&now) {
+            (now + self.patience, Outcome::TimedOut, 0.0)
+        } else if begins - now > 3.0 * world.call_timeout {
+            (now + 1.0, Outcome::Full, 0.0)
+        } else {
+            self.free_at[part] = begins + 2000.0 / world.calls_a_second;
+            let total = self.totals.entry(name).or_default();
+            *total += add;
+            match begins + world.call_takes {
+                late if late - now > self.patience => (now + self.patience, Outcome::TimedOut, 0.0),
+                at => (at, Outcome::Ok, *total),
+            }
+        };
+        self.next += 1;
+        self.calls.insert(self.next, (gateway, now, name, outcome, total));
+        (at, Due::Answer(self.next))
+    }
+}
+
+fn settings(world: &World) -> Settings {
+    let class = Class { aim: 600.0, deadline: 2000.0, worth: 1.0, ..Class::default() };
+    Settings {
+        gateways: world.gateways as f64,
+        classes: vec![class],
+        plans: world.plans.clone(),
+        max_units: 1.0,
+        max_attempts: 3,
+        cancelling: true,
+        retry_after: true,
+        max_retry_after: 1000.0,
+        counter: true,
+        counter_timeout: world.call_timeout,
+        cold_start: 0.2,
+        warm_after: 10_000.0,
+        overload_factor: 2.0,
+        tip_after: 1000.0,
+        ..Settings::default()
+    }
+}
+
+/// The day with a fleet of the program's own gateways.
+fn fleet(world: &World, plan_of: &[usize], arrivals: &[(Millis, usize, usize)]) -> (Books, usize) {
+    let set = settings(world);
+    let patience = patience(&set);
+    let mut all: Vec<Gateway> =
+        (0..world.gateways).map(|g| Gateway::new(set.clone(), world.seed ^ g as u64)).collect();
+    let mut books = Books::new(world, plan_of);
+    let mut counter = Counter {
+        totals: HashMap::new(),
+        free_at: [0.0; 2],
+        calls: HashMap::new(),
+        next: 0,
+        made: 0,
+        patience,
+    };
+    let mut heap: BinaryHeap<Reverse<(u64, Due)>> = BinaryHeap::new();
+    let mut asked: HashMap<u32, usize> = HashMap::new();
+    let mut sent: HashMap<(usize, u32), (ServerId, bool)> = HashMap::new();
+    let micros = |at: Millis| (at * 1000.0) as u64;
+    let entries: Vec<ServerEntry> = (1..=world.gateways as u32)
+        .map(|n| ServerEntry { server: ServerId(n), weight: 1.0, ..ServerEntry::default() })
+        .collect();
+    let mut todo: Vec<(usize, Event)> = (0..world.gateways)
+        .map(|g| (g, Event::Servers { update: ListUpdate::Full, entries: entries.clone() }))
+        .collect();
+    let (mut now, mut next, mut actions) = (0.0, 0, Vec::new());
+    loop {
+        for (g, event) in todo.drain(..) {
+            all[g].handle(now, event, &mut actions);
+            for action in actions.drain(..) {
+                match action {
+                    Action::Send { id, server, .. } => {
+                        let customer = asked[&id.0];
+                        let first = sent.insert((g, id.0), (server, true)).is_none();
+                        if first {
+                            books.send(&world.plans[plan_of[customer]], customer, now);
+                        }
+                        heap.push(Reverse((micros(now + WORK), Due::Served(g, id.0))));
+                    }
+                    Action::Count { name, add, .. } => {
+                        let (at, due) = counter.call(world, now, g, name, add);
+                        heap.push(Reverse((micros(at), due)));
+                    }
+                    Action::Timer { after, .. } => heap.push(Reverse((micros(now + after), Due::Tick(g)))),
+                    _ => {}
+                }
+            }
+        }
+        let due = heap.peek().map_or(f64::INFINITY, |Reverse((at, _))| *at as f64 / 1000.0);
+        let arrival = arrivals.get(next).filter(|a| a.0 <= due);
+        if let Some((at, customer, gateway)) = arrival {
+            now = at.max(now);
+            let id = next as u32;
+            asked.insert(id, *customer);
+            next += 1;
+            let request = Request {
+                id: RequestId(id),
+                customer: CustomerId(*customer as u64 * 7919 + 1),
+                plan: PlanId(plan_of[*customer]),
+                units: 1.0,
+                time_left: 1500.0,
+                spread: world.gateways as f64,
+                ..Request::default()
+            };
+            todo.push((*gateway, Event::Request(request)));
+            continue;
+        }
+        let Some(Reverse((at, due))) = heap.pop() else { break };
+        now = (at as f64 / 1000.0).max(now);
+        if now > DAY {
+            break;
+        }
+        match due {
+            Due::Tick(g) => todo.push((g, Event::Timer(0))),
+            Due::Answer(call) => {
+                if let Some((g, since, name, outcome, total)) = counter.calls.remove(&call) {
+                    todo.push((g, Event::Counted { name, outcome, took: now - since, total }));
+                }
+            }
+            Due::Served(g, id) => {
+                let Some((server, true)) = sent.get(&(g, id)).copied() else { continue };
+                sent.insert((g, id), (server, false));
+                let (id, outcome, complete, load) = (RequestId(id), Outcome::Ok, true, Vec::new());
+                let ended = Event::Ended {
+                    id,
+                    attempt: 0,
+                    server,
+                    outcome,
+                    complete,
+                    took: WORK,
+                    settled: 0.0,
+                    load,
+                };
+                todo.push((g, ended));
+            }
+        }
+    }
+    (books, counter.made)
+}
+
+/// The fleet's account, the late-seeing policy's, and calls and requests a second.
+fn play(world: &World) -> (Account, Account, f64, f64) {
+    let plan_of: Vec<usize> =
+        world.customers.iter().enumerate().flat_map(|(plan, many)| vec![plan; *many]).collect();
+    let mut dice = Dice(Pcg64Mcg::seed_from_u64(world.seed));
+    let arrivals = arrivals(world, &plan_of, &mut dice);
+    // What one gateway that saw everything at once would let in.
+    let mut whole = Books::new(world, &plan_of);
+    for (now, customer, _) in &arrivals {
+        let plan = &world.plans[plan_of[*customer]];
+        whole.stores[*customer].fill(plan, *now);
+        if whole.stores[*customer].holds >= 1.0 {
+            whole.send(plan, *customer, *now);
+        }
+    }
+    let share = |b: &Books| Account { inside: b.inside / whole.inside, beyond: b.beyond / whole.inside };
+    let late = share(&seen_late(world, &plan_of, &arrivals));
+    let (books, calls) = fleet(world, &plan_of, &arrivals);
+    let seconds = DAY / 1000.0;
+    (share(&books), late, calls as f64 / seconds, arrivals.len() as f64 / seconds)
+}
+
+fn plan(rate: f64, burst_s: f64, price: f64, over_cost: f64) -> Plan {
+    Plan { rate, burst: rate * burst_s, price, over_cost, ..Plan::default() }
+}
+
+/// Three plans of small, middling and large quotas.
+fn usual(seed: u64) -> World {
+    World {
+        gateways: 100,
+        plans: vec![plan(1.1, 4.0, 0.7, 1.2), plan(5.0, 2.0, 1.1, 1.2), plan(20.0, 2.2, 1.4, 1.0)],
+        customers: vec![500, 120, 15],
+        calls_a_second: 500.0,
+        call_takes: 5.0,
+        call_timeout: 30.0,
+        silent: 0.0..0.0,
+        seed,
+    }
+}
+
+/// Plays a world on two seeds, holds the cost of what passes beyond the quotas against the late-seeing
+/// policy's, and what is served of the room that there is.
+fn hold(what: &str, world: impl Fn(u64) -> World, most: f64, least_inside: f64) {
+    for seed in [1, 2] {
+        let (ours, late, calls, asked) = play(&world(seed));
+        let more = ours.beyond - late.beyond;
+        println!("{what}, seed {seed}: {more:+.3} beyond, {ours:?} beside {late:?}; {calls:.0} calls for {asked:.0}");
+        assert!(more <= most, "{what}, seed {seed}: costs {more:.3} more than seen late, {most} at most");
+        assert!(ours.inside >= least_inside, "{what}, seed {seed}: {:.3} of the room was used", ours.inside);
+    }
+}
+
+#[test]
+fn with_a_counter_that_bears_every_call_less_passes_than_where_quotas_are_seen_late() {
+    hold("ample", |seed| World { calls_a_second: 5000.0, ..usual(seed) }, 0.0, 0.97);
+}
+
+#[test]
+fn with_a_counter_that_bears_half_of_the_requests_it_costs_at_most_a_tenth_more() {
+    hold("usual", usual, 0.1, 0.97);
+}
+
+#[test]
+fn excess_that_earns_more_than_it_costs_is_no_reason_to_fail() {
+    // The account takes what it earns into its cost, by the settings alone.
+    let generous = |seed| {
+        let mut world = usual(seed);
+        for plan in &mut world.plans {
+            (plan.over_worth, plan.over_cost) = (0.3, 0.1);
+        }
+        world
+    };
+    hold("generous", generous, 0.2, 0.97);
+}
+
+/// What is not met: here the cost is more than a tenth above the late-seeing policy's. The bounds hold what
+/// was reached, so that it gets no worse unseen.
+#[test]
+fn with_a_slow_or_silent_counter_the_cost_stays_where_it_was_measured() {
+    hold("slow", |seed| World { call_takes: 80.0, calls_a_second: 300.0, ..usual(seed) }, 0.21, 0.97);
+    hold("silent for 6 s of 30", |seed| World { silent: 10_000.0..16_000.0, ..usual(seed) }, 0.19, 0.97);
+}
--- a/tests/real.rs
+++ b/tests/real.rs
@@ -501,10 +501,11 @@
 
 #[test]
 fn a_late_answer_of_the_counter_is_dropped_in_its_place() {
-    // The first answer comes after its time-out and names a total that would fill the quota.
+    // The first answer comes after all that a call is waited for, a quarter of the shortest aim of 1.5 s, and
+    // names a total that would fill the quota.
     let counter = Counter::start(|call, total| {
         if call == 0 {
-            std::thread::sleep(Duration::from_millis(150));
+            std::thread::sleep(Duration::from_millis(600));
             return b"ok 100000000\r\n".to_vec();
         }
         format!("ok {total}\r\n").into_bytes()
@@ -523,6 +524,21 @@
     assert_eq!(counter.connections.load(Ordering::SeqCst), 4, "a connection was given up");
 }
 
+#[test]
+fn an_answer_of_the_counter_past_the_time_out_of_a_simulated_call_still_counts() {
+    // Each takes 150 ms, with a time-out of 50 ms in the settings, and tells of a use far beyond the quota.
+    let counter = Counter::start(|_, total| {
+        std::thread::sleep(Duration::from_millis(150));
+        format!("ok {}\r\n", total + 100_000_000.0).into_bytes()
+    });
+    let server = Server::ok();
+    let (mut setup, _discovery, _counter) = setup(&[&server]);
+    setup.counter = counter.address;
+    let limiter = setup.start();
+    let mut client = limiter.client();
+    eventually("the use of others is heeded", || client.look().status() == 429);
+}
+
 #[test]
 fn a_counter_that_talks_nonsense_or_refuses_stops_no_request() {
     for bytes in ["busy\r\n", "error\r\n", "ok many\r\n", "\r\n", "ok NaN\r\n", "\u{1}\u{2}\r\nok 1\r\n"] {
