--- a/tests/attempts.rs
+++ b/tests/attempts.rs
@@ -11,12 +11,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-fn setup(members: &[String]) -> (Setup, Discovery, Counter) {
-    let known = list(1, true, members);
-    let (discovery, counter) = (Discovery::start(known.clone()), Counter::ok());
-    (Setup::new(discovery.address, counter.address, &known), discovery, counter)
-}
-
 /// A server that takes so many bytes of whatever comes, and resets the connection. Its buffers are small, so
 /// that the rest of a long request has not been written by then.
 fn resets_after(bytes: usize) -> (SocketAddr, Arc<AtomicUsize>) {
@@ -45,7 +39,7 @@
     for taken in [1, 100, 3000] {
         let ((a, at_a), (b, at_b)) = (resets_after(taken), resets_after(taken));
         let (setup, _discovery, _counter) =
-            setup(&[member("s-00000001", a, "Ready"), member("s-00000002", b, "Ready")]);
+            around(&[member("s-00000001", a, "Ready"), member("s-00000002", b, "Ready")]);
         let limiter = setup.start();
         let mut client = limiter.client();
         client.send("POST", "once", "X-Time-Left: 1.9\r\n", &vec![b'x'; 64 * 1024]);
@@ -59,7 +53,7 @@
 fn nothing_goes_out_on_a_connection_that_was_coming_up_when_its_server_was_told_to_drain() {
     for (phase, cancelling) in [("Terminating", true), ("Gone", true), ("Terminating", false)] {
         let (late, ok) = (Unreachable::new(), Server::ok());
-        let (mut setup, discovery, _counter) = setup(&[member("s-00000001", late.address, "Ready")]);
+        let (mut setup, discovery, _counter) = around(&[member("s-00000001", late.address, "Ready")]);
         (setup.connect_timeout, setup.cancelling) = (60_000.0, cancelling);
         let limiter = setup.start();
         eventually("a watch", || discovery.watching() == 1);
@@ -82,7 +76,7 @@
 fn a_connection_that_comes_up_late_has_failed_and_nothing_goes_out_on_it() {
     let (late, ok) = (Unreachable::new(), Server::ok());
     let (setup, _discovery, _counter) =
-        setup(&[member("s-00000001", late.address, "Ready"), member("s-00000002", ok.address, "Ready")]);
+        around(&[member("s-00000001", late.address, "Ready"), member("s-00000002", ok.address, "Ready")]);
     let limiter = setup.start();
     let mut clients: Vec<Client> = (0..6).map(|_| limiter.client()).collect();
     clients.iter_mut().for_each(|c| c.send("POST", "once", "X-Time-Left: 1.9\r\n", b"{}"));
@@ -102,9 +96,7 @@
         let wait = 250 + 2 * (turn.fetch_add(1, Ordering::SeqCst) as u64 % 30);
         Act::Late(Duration::from_millis(wait), answer("200 OK", "", m.start.as_bytes()))
     });
-    let members: Vec<String> =
-        (10..40).map(|i| member(&format!("s-000000{i}"), server.address, "Ready")).collect();
-    let (setup, _discovery, _counter) = setup(&members);
+    let (setup, _discovery, _counter) = around(&often(&server));
     let limiter = setup.start();
     for class in ["once", "long"] {
         let mut clients: Vec<Client> = (0..30).map(|_| limiter.client()).collect();
--- a/tests/ending.rs
+++ b/tests/ending.rs
@@ -8,15 +8,6 @@
 use std::collections::HashSet;
 use std::time::{Duration, Instant};
 
-/// A server that stands in the list many times, so that no limit on what is out at one is met.
-fn setup(server: &Server) -> (Setup, Discovery, Counter) {
-    let members: Vec<String> =
-        (10..40).map(|i| member(&format!("s-000000{i}"), server.address, "Ready")).collect();
-    let known = list(1, true, &members);
-    let (discovery, counter) = (Discovery::start(known.clone()), Counter::ok());
-    (Setup::new(discovery.address, counter.address, &known), discovery, counter)
-}
-
 /// A server that answers those who wait long once a gate is open, and others at once.
 fn gated(gate: &Gate) -> Server {
     let there = gate.clone();
@@ -38,7 +29,7 @@
 fn connections_that_wait_to_be_accepted_when_the_end_begins_are_served() {
     let gate = Gate::default();
     let server = gated(&gate);
-    let (mut setup, _discovery, _counter) = setup(&server);
+    let (mut setup, _discovery, _counter) = around(&often(&server));
     // Room for eight clients at the least that is set.
     setup.sockets = 0;
     let mut limiter = setup.start();
@@ -60,7 +51,7 @@
 fn further_signals_during_the_end_cost_no_request() {
     let gate = Gate::default();
     let server = gated(&gate);
-    let (setup, _discovery, _counter) = setup(&server);
+    let (setup, _discovery, _counter) = around(&often(&server));
     let mut limiter = setup.start();
     let mut client = long(&limiter);
     eventually("the attempt", || server.count() == 1);
@@ -109,7 +100,7 @@
 #[test]
 fn requests_on_kept_connections_during_the_end_are_answered_or_were_never_sent_on() {
     let server = Server::ok();
-    let (setup, _discovery, _counter) = setup(&server);
+    let (setup, _discovery, _counter) = around(&often(&server));
     let mut limiter = setup.start();
     // Of many paces, so that closes and requests cross in all ways.
     let kept: Vec<_> = (0..40u64)
@@ -144,7 +135,7 @@
 fn a_new_connection_still_gets_to_send_its_first_request_while_the_limiter_ends() {
     let gate = Gate::default();
     let server = gated(&gate);
-    let (setup, _discovery, _counter) = setup(&server);
+    let (setup, _discovery, _counter) = around(&often(&server));
     let mut limiter = setup.start();
     // Holds the end open.
     let mut held = long(&limiter);
--- a/tests/fakes/mod.rs
+++ b/tests/fakes/mod.rs
@@ -365,6 +365,18 @@
     format!(r#"{{"revision":{revision},"complete":{complete},"members":[{}]}}"#, members.join(","))
 }
 
+/// A server's entries under many ids, so that no limit on what is out at one is met.
+pub fn often(server: &Server) -> Vec<String> {
+    (10..40).map(|i| member(&format!("s-000000{i}"), server.address, "Ready")).collect()
+}
+
+/// Discovery that tells of these members, a counter, and a setup by which they are known from the start.
+pub fn around(members: &[String]) -> (Setup, Discovery, Counter) {
+    let known = list(1, true, members);
+    let (discovery, counter) = (Discovery::start(known.clone()), Counter::ok());
+    (Setup::new(discovery.address, counter.address, &known), discovery, counter)
+}
+
 /// What a limiter is started with.
 pub struct Setup {
     pub listen: String,
--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -90,9 +90,7 @@
 }
 
 fn with_list(server: SocketAddr) -> (Setup, Discovery, Counter) {
-    let known = list(1, true, &[member("s-00000001", server, "Ready")]);
-    let (discovery, counter) = (Discovery::start(known.clone()), Counter::ok());
-    (Setup::new(discovery.address, counter.address, &known), discovery, counter)
+    around(&[member("s-00000001", server, "Ready")])
 }
 
 /// Tells of requests by name which the server begins, and makes those named `slow` wait at a gate.
--- a/tests/resources.rs
+++ b/tests/resources.rs
@@ -11,14 +11,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-fn setup(server: &Server) -> (Setup, Discovery, Counter) {
-    let members: Vec<String> =
-        (10..40).map(|i| member(&format!("s-000000{i}"), server.address, "Ready")).collect();
-    let known = list(1, true, &members);
-    let (discovery, counter) = (Discovery::start(known.clone()), Counter::ok());
-    (Setup::new(discovery.address, counter.address, &known), discovery, counter)
-}
-
 /// Descriptors that the limiter holds.
 fn descriptors(limiter: &Limiter) -> usize {
     std::fs::read_dir(format!("/proc/{}/fd", limiter.child.id())).expect("its descriptors").count()
@@ -40,7 +32,7 @@
         there.wait();
         Act::Write(answer("200 OK", "", b""))
     });
-    let (mut setup, _discovery, _counter) = setup(&server);
+    let (mut setup, _discovery, _counter) = around(&often(&server));
     // Eight clients and eight connections to servers, the least that is set.
     setup.sockets = 0;
     let limiter = setup.start();
@@ -75,7 +67,7 @@
             _ => Act::Close(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf".to_vec()),
         }
     });
-    let (mut setup, _discovery, counter) = setup(&server);
+    let (mut setup, _discovery, counter) = around(&often(&server));
     setup.sockets = 400;
     let limiter = setup.start();
     assert_eq!(limiter.client().look().status(), 200);
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -86,12 +86,7 @@
     ];
     for (what, settings) in variants {
         let server = Server::ok();
-        // It stands in the list many times, so that no limit on what is out at one is met.
-        let members: Vec<String> =
-            (1..31).map(|i| member(&format!("node/{i}"), server.address, "Ready")).collect();
-        let known = list(1, true, &members);
-        let (discovery, counter) = (Discovery::start(known.clone()), Counter::ok());
-        let mut setup = Setup::new(discovery.address, counter.address, &known);
+        let (mut setup, _discovery, _counter) = around(&often(&server));
         setup.settings = Some(settings);
         let mut limiter = setup.start();
         let mut client = limiter.client();
