--- a/tests/attempts.rs
+++ b/tests/attempts.rs
@@ -116,3 +116,39 @@
     ids.dedup();
     assert_eq!(ids.len(), all, "one that may run once only was sent twice");
 }
+
+#[test]
+fn two_copies_that_answer_at_once_bring_one_answer() {
+    // The first copy of a slow request is held until the second has come; then both are answered.
+    let gate = Gate::default();
+    let (there, copies) = (gate.clone(), AtomicUsize::new(0));
+    let server = Server::start(move |m| {
+        if m.start.contains("&name=slow") {
+            match copies.fetch_add(1, Ordering::SeqCst) {
+                0 => there.wait(),
+                _ => there.open(),
+            }
+        }
+        Act::Write(answer("200 OK", "", m.start.as_bytes()))
+    });
+    let (setup, _discovery, _counter) = around(&often(&server));
+    let limiter = setup.start();
+    let mut client = limiter.client();
+    // A second copy goes out after several mean answer times, which are short by now.
+    for _ in 0..150 {
+        assert_eq!(client.look().status(), 200);
+    }
+    let slow = "GET /look?customer=00000000b4d65521&name=slow HTTP/1.1\r\nHost: x\r\nX-Correlation-Id: slow\r\n\
+         X-Service-Class: look\r\nX-Plan: team\r\nX-Time-Left: 2.0\r\nX-Quota: units=1,spread=2,first=0\r\n\r\n";
+    let got = client.raw(slow.as_bytes()).expect("an answer");
+    let seen = server.seen.lock().expect("a lock").iter().filter(|m| m.start.contains("&name=slow")).count();
+    // On a machine so busy that answers took long, no second copy was due, and the wait ended first.
+    assert!(got.status() == 200 && seen == 2 || seen == 1, "{} after {seen} copies", got.status());
+    gate.open();
+    // Nothing is left on the connection, and the next answer is that of the next request.
+    for _ in 0..5 {
+        let next = client.look();
+        assert_eq!(next.status(), 200);
+        assert!(!next.body.windows(9).any(|w| w == b"name=slow"), "another request's answer");
+    }
+}
--- a/tests/ending.rs
+++ b/tests/ending.rs
@@ -157,3 +157,31 @@
     assert_eq!(held.read().map(|m| m.status()), Some(200));
     assert_eq!(limiter.exit_code(), Some(0));
 }
+
+#[test]
+fn an_answer_that_is_not_taken_does_not_hold_up_the_end_or_others() {
+    let gate = Gate::default();
+    let there = gate.clone();
+    let server = Server::start(move |m| {
+        if m.start.starts_with("POST /long") {
+            there.wait();
+        }
+        Act::Write(answer("200 OK", "", &vec![b'x'; 60_000]))
+    });
+    let (setup, _discovery, _counter) = around(&often(&server));
+    let mut limiter = setup.start();
+    // Takes a little of its answer and then nothing more.
+    let mut lazy = limiter.client();
+    socket2::SockRef::from(&lazy.stream).set_recv_buffer_size(2048).expect("a buffer");
+    lazy.send("POST", "once", "X-Time-Left: 1.9\r\n", b"{}");
+    let mut held = long(&limiter);
+    eventually("the attempts", || server.count() == 2);
+    limiter.terminate();
+    gate.open();
+    let got = held.read().expect("an answer");
+    assert_eq!((got.status(), got.body.len()), (200, 60_000));
+    assert_eq!(limiter.exit_code(), Some(0));
+    // What has been passed on is the beginning of the answer made for it, or all of it.
+    let rest = lazy.read();
+    assert!(rest.is_none_or(|m| m.status() == 200 && m.body.iter().all(|b| *b == b'x')));
+}
--- a/tests/fakes/mod.rs
+++ b/tests/fakes/mod.rs
@@ -1,7 +1,7 @@
 //! Small stand-ins for servers, discovery and the counter on loopback sockets, and the real limiter
 //! started against them.
 
-use socket2::{Domain, Socket, Type};
+use socket2::{Domain, SockRef, Socket, Type};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, Command, Stdio};
@@ -243,6 +243,8 @@
     watches: Arc<Mutex<Vec<TcpStream>>>,
     /// Watches send no empty lines, as if they were dead.
     pub mute: Arc<AtomicBool>,
+    /// Calls are taken and never answered, as by an agent while discovery is down.
+    pub deaf: Arc<AtomicBool>,
 }
 
 impl Discovery {
@@ -252,11 +254,18 @@
         let list = Arc::new(Mutex::new(list));
         let (asked, watches) = (Arc::new(Mutex::new(Vec::new())), Arc::new(Mutex::new(Vec::new())));
         let (list_there, asked_there, watches_there) = (list.clone(), asked.clone(), watches.clone());
+        let deaf = Arc::new(AtomicBool::new(false));
+        let deaf_there = deaf.clone();
         std::thread::spawn(move || {
+            let mut unanswered = Vec::new();
             for mut stream in listener.incoming().flatten() {
                 let mut reader = BufReader::new(stream.try_clone().expect("a clone"));
                 let Some(message) = read_message(&mut reader) else { continue };
                 asked_there.lock().expect("a lock").push(message.start.clone());
+                if deaf_there.load(Ordering::SeqCst) {
+                    unanswered.push(stream);
+                    continue;
+                }
                 if message.start.contains("follow=1") {
                     let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n\r\n\r\n";
                     let _ = stream.write_all(head.as_bytes());
@@ -277,7 +286,7 @@
                 }
             }
         });
-        Discovery { address, list, asked, watches, mute }
+        Discovery { address, list, asked, watches, mute, deaf }
     }
 
     /// Writes a piece of a watch's answer as a chunk of its own.
@@ -287,6 +296,18 @@
         }
     }
 
+    /// Ends all open watches, in the middle of whatever was sent.
+    pub fn reset(&self) {
+        for stream in self.watches.lock().expect("a lock").drain(..) {
+            SockRef::from(&stream).set_linger(Some(Duration::ZERO)).expect("linger");
+        }
+    }
+
+    /// Calls that have come.
+    pub fn calls(&self) -> usize {
+        self.asked.lock().expect("a lock").len()
+    }
+
     pub fn watching(&self) -> usize {
         self.watches.lock().expect("a lock").len()
     }
--- a/tests/real.rs
+++ b/tests/real.rs
@@ -488,6 +488,60 @@
     assert_eq!(discovery.asked.lock().expect("a lock").len(), 3);
 }
 
+#[test]
+fn discovery_that_is_down_at_the_start_is_heeded_when_it_is_back() {
+    let (a, b) = (Server::ok(), Server::ok());
+    let (setup, discovery, _counter) = setup(&[&a]);
+    discovery.deaf.store(true, Ordering::SeqCst);
+    let limiter = setup.start();
+    // Serves from the list that it was started with, and goes on asking.
+    assert_eq!(limiter.client().look().status(), 200);
+    eventually("several calls", || discovery.calls() >= 3);
+    *discovery.list.lock().expect("a lock") = list(7, true, &[member(&id(1), b.address, "Ready")]);
+    discovery.deaf.store(false, Ordering::SeqCst);
+    eventually("a watch", || discovery.watching() == 1);
+    discovery.write(
+        &(list(8, false, &[member(&id(0), a.address, "Gone"), member(&id(1), b.address, "Ready")]) + "\n"),
+    );
+    assert_dropped(&a);
+    assert_eq!(limiter.client().look().status(), 200);
+    assert_eq!((a.count(), b.count()), (1, 1));
+}
+
+#[test]
+fn a_watch_that_is_reset_in_a_line_goes_on_where_it_was_and_a_new_address_counts_during_that() {
+    let (a, b) = (Server::ok(), Server::ok());
+    let (mut setup, first, _counter) = setup(&[&a]);
+    let limiter = setup.start();
+    eventually("a watch", || first.watching() == 1);
+    let change = list(5, false, &[member(&id(1), b.address, "Ready")]) + "\n";
+    first.write(&change);
+    eventually("the change", || limiter.client().look().status() == 200 && b.count() > 0);
+    first.write(&change[..40]);
+    first.reset();
+    eventually("a new watch", || first.watching() == 1);
+    let asked = first.asked.lock().expect("a lock").clone();
+    assert!(asked.last().is_some_and(|a| a.contains("follow=1&since=5")), "{asked:?}");
+    // Told of another agent while the first does not answer.
+    first.deaf.store(true, Ordering::SeqCst);
+    first.reset();
+    let before = first.calls();
+    eventually("a call that is not answered", || first.calls() > before);
+    let second = Discovery::start(all_ready(1, &[&a, &b]));
+    *second.list.lock().expect("a lock") = list(1, true, &[member(&id(1), b.address, "Ready")]);
+    setup.discovery = second.address;
+    limiter.reload(&setup.config());
+    eventually("a watch at the new agent", || second.watching() == 1);
+    let asked = second.asked.lock().expect("a lock").clone();
+    assert!(asked[0].contains("/v1/servers HTTP"), "versions of two agents need not agree: {asked:?}");
+    // Its list was taken in before the watch was opened.
+    let (at_a, late) = (a.count(), first.calls());
+    let mut client = limiter.client();
+    assert!((0..8).all(|_| client.look().status() == 200));
+    assert_eq!(a.count(), at_a, "only the new agent's list counts");
+    assert_eq!(first.calls(), late, "the old agent is still asked");
+}
+
 #[test]
 fn a_watch_without_its_empty_lines_is_opened_anew() {
     let server = Server::ok();
