Test: hold the port of a server that cannot be reached

scripts/test.sh failed once beside other runs of the tests: three of eight requests were answered 502. The port had been bound and given back, and another test's server, one that breaks its connections, had got it. It is now bound and not listened on, so that it refuses as before and nobody else is given it.

--- a/tests/real.rs
+++ b/tests/real.rs
@@ -225,11 +225,11 @@
     let full = Server::start(|_| Act::Write(answer("503 Busy", "X-Unprocessed: 1\r\n", b"")));
     let dead = Server::ok();
     let works = Server::ok();
-    let gone = {
-        let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
-        listener.local_addr().expect("an address")
-    };
-    let dead = Server { address: gone, ..dead };
+    // Bound and not listened on: whoever connects is refused, and no other test is given the port meanwhile.
+    let gone = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
+    gone.bind(&"127.0.0.1:0".parse::<std::net::SocketAddr>().expect("an address").into()).expect("a port");
+    let address = gone.local_addr().ok().and_then(|a| a.as_socket()).expect("an address");
+    let dead = Server { address, ..dead };
     let (limiter, _discovery, _counter) = before(&[&full, &dead, &works]);
     assert_eq!(at_once(&limiter, 8), [200; 8]);
     assert_eq!(works.count(), 8);
