--- a/src/logic/sparse.rs
+++ b/src/logic/sparse.rs
@@ -1,5 +1,5 @@
-//! Sparse customers: those of which each gateway sees too little to batch. In a fleet of a hundred gateways it is
-//! almost everyone; a gateway then knows nothing of a customer that it has not just read.
+//! Sparse customers: those of which each gateway sees too little to batch. In a fleet of a hundred gateways
+//! it is almost everyone; a gateway then knows nothing of a customer that it has not just read.
 //!
 //! So the count of such a customer is kept where all can act on it at once. The name holds the units accepted
 //! since it began; less what the rate has yielded since, that is the use in the sliding window, and one
