Measure slopes of a decision module and a hollow fleet in a workspace member

The member scale/ measures processor time of one module by servers, limiters and customers, its memory, and a fleet of modules on one simulated clock. The limiter's package gains no dependency; the test script covers the workspace.

--- /dev/null
+++ b/scale/src/main.rs
@@ -0,0 +1,82 @@
+//! Measures what the limiter costs at the size of a fleet. `scale help` tells the commands.
+
+use clap::{Parser, Subcommand};
+use topazwind_scale::deployment::Deployment;
+use topazwind_scale::hollow::{self, Play, Trouble};
+use topazwind_scale::measure::Report;
+use topazwind_scale::{memory, module};
+
+#[derive(Parser)]
+#[command(about = "What the limiter costs at the size of a fleet")]
+struct Arguments {
+    /// Prints JSON in place of text.
+    #[arg(long, global = true)]
+    json: bool,
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Processor time of one decision module, by servers, limiters and customers.
+    Module {
+        #[arg(long, default_value_t = 5)]
+        repeats: usize,
+        /// Simulated seconds of each.
+        #[arg(long, default_value_t = 4.0)]
+        seconds: f64,
+    },
+    /// Memory of one decision module for each server, customer and open request.
+    Memory {
+        #[arg(long, default_value_t = 5)]
+        repeats: usize,
+    },
+    /// A whole fleet on one simulated clock.
+    Hollow {
+        #[arg(long, default_value_t = 530)]
+        gateways: usize,
+        #[arg(long, default_value_t = 5_700)]
+        servers: usize,
+        #[arg(long, default_value_t = 28_000)]
+        customers: usize,
+        /// Requests a second of the whole fleet.
+        #[arg(long, default_value_t = 140_000.0)]
+        rate: f64,
+        /// Limiters that one customer comes in through; 0: all.
+        #[arg(long, default_value_t = 0)]
+        spread: usize,
+        #[arg(long, default_value_t = 4.0)]
+        seconds: f64,
+        /// Calls that the counter bears, as a share of the requests; 0: all.
+        #[arg(long, default_value_t = 0.0)]
+        bears: f64,
+        #[arg(long, value_enum, default_value_t = Trouble::None)]
+        trouble: Trouble,
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+    },
+    #[command(hide = true)]
+    MemoryOne { kind: String, many: usize },
+}
+
+fn main() -> Result<(), Box<dyn std::error::Error>> {
+    let arguments = Arguments::parse();
+    let report: Report = match arguments.command {
+        Command::Module { repeats, seconds } => module::measure(repeats, seconds),
+        Command::Memory { repeats } => memory::measure(repeats)?,
+        Command::Hollow { gateways, servers, customers, rate, spread, seconds, bears, trouble, seed } => {
+            let zones = Deployment::default().zones;
+            let deployment = Deployment { gateways, servers, customers, rate, spread, zones };
+            hollow::play(&Play { deployment, seconds, bears, trouble, seed })
+        }
+        Command::MemoryOne { kind, many } => {
+            println!("{}", memory::one(&kind, many));
+            return Ok(());
+        }
+    };
+    match arguments.json {
+        true => println!("{:#}", report.json()),
+        false => print!("{}", report.text()),
+    }
+    Ok(())
+}
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -2,10 +2,10 @@
 # The project's whole test: format, lints, release build, tests, size and width of the decision module.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-cargo fmt --check
-cargo clippy --locked --all-targets -- -D warnings
+cargo fmt --all --check
+cargo clippy --locked --workspace --all-targets -- -D warnings
 cargo build --locked --release
-cargo test --locked --release
+cargo test --locked --release --workspace
 mapfile -t policy < <(sed -n 's/^policy = \[\(.*\)\].*/\1/p' deploy/balancer.toml | grep -o '[^", ]*\.rs')
 lines=$(cat "${policy[@]}" | grep -cve '^[[:space:]]*$')
 wide=$(cat "${policy[@]}" | awk 'length($0) > 110' | wc -l)
