--- a/scale/src/lib.rs
+++ b/scale/src/lib.rs
@@ -1,7 +1,7 @@
 //! What the limiter costs at the size of a fleet.
 //!
 //! [`module`] measures one decision module by size, [`memory`] what it keeps, and [`hollow`] plays a whole fleet
-//! of them on one simulated clock. All time is processor time, which a busy machine stretches less than the clock
+//! of them on one simulated clock; [`process`] starts real limiters. All time is processor time, which a busy machine stretches less than the clock
 //! on the wall; [`measure`] repeats, takes medians and fits slopes.
 
 pub mod deployment;
@@ -9,3 +9,5 @@
 pub mod measure;
 pub mod memory;
 pub mod module;
+pub mod process;
+pub mod standins;
--- a/scale/src/main.rs
+++ b/scale/src/main.rs
@@ -1,10 +1,11 @@
 //! Measures what the limiter costs at the size of a fleet. `scale help` tells the commands.
 
 use clap::{Parser, Subcommand};
+use std::path::PathBuf;
 use topazwind_scale::deployment::Deployment;
 use topazwind_scale::hollow::{self, Play, Trouble};
 use topazwind_scale::measure::Report;
-use topazwind_scale::{memory, module};
+use topazwind_scale::{memory, module, process};
 
 #[derive(Parser)]
 #[command(about = "What the limiter costs at the size of a fleet")]
@@ -55,10 +56,37 @@
         #[arg(long, default_value_t = 1)]
         seed: u64,
     },
+    /// Real limiters beside stand-ins on loopback.
+    Process {
+        /// What is measured.
+        #[arg(value_enum)]
+        part: Part,
+        /// The limiter's program.
+        #[arg(long, default_value = "target/release/oatbank")]
+        limiter: PathBuf,
+        #[arg(long, default_value_t = 5)]
+        repeats: usize,
+        #[arg(long, default_value_t = 5_700)]
+        servers: usize,
+        #[arg(long, default_value_t = 3.0)]
+        seconds: f64,
+    },
     #[command(hide = true)]
     MemoryOne { kind: String, many: usize },
 }
 
+#[derive(Clone, Copy, clap::ValueEnum)]
+enum Part {
+    /// Time to ready, idling and changes, by servers.
+    Lists,
+    /// Memory by connections.
+    Connections,
+    /// Latency beside a direct connection, by requests a second.
+    Latency,
+    /// Time from SIGHUP to in force, by servers.
+    Hangup,
+}
+
 fn main() -> Result<(), Box<dyn std::error::Error>> {
     let arguments = Arguments::parse();
     let report: Report = match arguments.command {
@@ -69,6 +97,12 @@
             let deployment = Deployment { gateways, servers, customers, rate, spread, zones };
             hollow::play(&Play { deployment, seconds, bears, trouble, seed })
         }
+        Command::Process { part, limiter, repeats, servers, seconds } => match part {
+            Part::Lists => process::lists(&limiter, repeats)?,
+            Part::Connections => process::connections(&limiter, repeats)?,
+            Part::Latency => process::latency(&limiter, repeats, servers, seconds)?,
+            Part::Hangup => process::hangup(&limiter, repeats)?,
+        },
         Command::MemoryOne { kind, many } => {
             println!("{}", memory::one(&kind, many));
             return Ok(());
