Read each byte of a list once, and bound it by the memory limit

Seen: a limiter before 5,700 servers never takes an indented whole list (MOST_BYTES was a fixed 1 MiB), and one that comes over a watch in pieces of 1,400 bytes is given up after 1 s as an object that does not end, for ever: Objects::next parsed all that had come from its start at every piece.

Change: the end of an object is looked for byte by byte, each byte once (brackets, texts and separators only, so that what cannot be part of an object is told as soon as it is met); then one parse with borrowed fields, the entries one by one, so that a bad one does not hide the others. The bound is a sixteenth of limits.memory_mb. An object that comes steadily has 2 s, one that stops has 1 s as before. The whole list is read by the same code as a watch. Servers that a whole list names are looked up in a set, no longer in a list. The list of the configuration is kept as text until it is used, not as a tree of values. The follower takes its connections and its listener by two traits, so that it can be run in paused time.

--- a/src/main.rs
+++ b/src/main.rs
@@ -10,11 +10,11 @@
 use std::time::{Duration, Instant};
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{signal, SignalKind};
-use tokio::task::AbortHandle;
 use topazwind::net::config::{Config, Limits};
+use topazwind::net::discovery::{most_bytes, Bounds, Following};
 use topazwind::net::driver::Driver;
 use topazwind::net::front::Front;
-use topazwind::net::{discovery, keep_running};
+use topazwind::net::keep_running;
 
 /// Descriptors kept for all that is neither a client's nor a server's connection: the counter's (twice while it
 /// moves), discovery's, the listener and the runtime's own.
@@ -63,32 +63,9 @@
     }
 }
 
-/// Follows the discovery agent that the configuration names, and moves to another when that changes.
-struct Following {
-    agent: SocketAddr,
-    task: AbortHandle,
-}
-
-impl Following {
-    fn start(driver: &Rc<Driver>, agent: SocketAddr, known: Option<u64>) -> Self {
-        let driver = driver.clone();
-        let task = keep_running("discovery", move || discovery::follow(driver.clone(), agent, known));
-        Following { agent, task }
-    }
-
-    /// The old list holds until the new agent has told its own. Versions of two agents need not count
-    /// alike, so the whole of it is asked for.
-    fn move_to(&mut self, driver: &Rc<Driver>, agent: SocketAddr) {
-        if self.agent != agent {
-            self.task.abort();
-            *self = Following::start(driver, agent, None);
-        }
-    }
-}
-
 /// Takes over where discovery and the counter are now; all else in the file counts at a start only. A file
 /// that cannot be read changes nothing.
-fn reload(path: &str, driver: &Rc<Driver>, following: &mut Following) {
+fn reload(path: &str, driver: &Rc<Driver>, following: &mut Following<SocketAddr>) {
     match Config::load(path) {
         Ok(config) => {
             log::info!("configuration: discovery {}, counter {:?}", config.discovery, config.counter);
@@ -99,7 +76,7 @@
     }
 }
 
-async fn serve(config: Config, path: String) -> std::io::Result<()> {
+async fn serve(mut config: Config, path: String) -> std::io::Result<()> {
     // Before anything else: until there is a handler each of these ends the process.
     let mut hangup = signal(SignalKind::hangup())?;
     let mut term = signal(SignalKind::terminate())?;
@@ -108,8 +85,11 @@
     let clients = (sockets as f64 * CLIENT_SHARE) as usize;
     let driver = Driver::new(&config, sockets - clients);
     driver.start();
-    let known = config.known.as_ref().map(|k| k.revision);
-    let mut following = Following::start(&driver, config.discovery, known);
+    let known = config.known().map(|k| k.revision);
+    let bounds =
+        Bounds { drain_grace: driver.drain_grace(), most_bytes: most_bytes(config.limits.memory_mb) };
+    let mut following = Following::start(&driver, config.discovery, known, bounds);
+    config.known = None;
     let waiting = driver.clone();
     tokio::task::spawn_local(async move {
         tokio::time::sleep(LIST_WAIT).await;
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -4,6 +4,7 @@
 use crate::interface::Settings;
 use crate::wire::{parse_settings, WireError};
 use serde::Deserialize;
+use serde_json::value::RawValue;
 use serde_json::Value;
 use std::fmt::Write as _;
 use std::net::SocketAddr;
@@ -44,7 +45,7 @@
     #[serde(default)]
     seed: String,
     #[serde(default)]
-    known: Value,
+    known: Option<Box<RawValue>>,
     #[serde(default)]
     limits: Limits,
     settings: Value,
@@ -100,8 +101,8 @@
     pub counter: Option<SocketAddr>,
     /// Seed of the decision module's random numbers.
     pub seed: u64,
-    /// The list of servers as this limiter last had it.
-    pub known: Option<ServerList>,
+    /// The list of servers as this limiter last had it, as it stands in the file.
+    pub known: Option<Box<RawValue>>,
     /// What the platform allows.
     pub limits: Limits,
     /// What the decision module is told.
@@ -126,6 +127,12 @@
         Config::parse(&text)
     }
 
+    /// The list of servers as this limiter last had it. It may be old and is only where to begin: without it,
+    /// or where it cannot be read, discovery tells the whole list.
+    pub fn known(&self) -> Option<ServerList<'_>> {
+        serde_json::from_str(self.known.as_ref()?.get()).ok()
+    }
+
     /// Reads the text of a configuration.
     ///
     /// # Errors
@@ -149,8 +156,7 @@
             discovery: file.discovery,
             counter: file.counter,
             seed: u64::from_str_radix(&file.seed, 16).unwrap_or_else(|_| fallback_seed(&file.seed)),
-            // It may be old and is only where to begin: without it discovery tells the whole list.
-            known: ServerList::deserialize(file.known).ok(),
+            known: file.known,
             limits: file.limits,
             settings,
             names,
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -13,7 +13,7 @@
 use bytes::Bytes;
 use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap, VecDeque};
+use std::collections::{BinaryHeap, HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::rc::Rc;
@@ -177,8 +177,8 @@
             pool: Pool::new(config.conn_idle, config.connect_timeout, most_upstream),
             counter: Counter::new(config.counter, call_patience),
         });
-        if let Some(known) = &config.known {
-            driver.list(known, ListUpdate::Cached);
+        if let Some(known) = config.known() {
+            driver.list(&known, ListUpdate::Cached);
         }
         driver.arm(driver.clock.now() + SWEEP, Due::Sweep);
         driver
@@ -462,29 +462,26 @@
     // ---- Servers ------------------------------------------------------------------------------
 
     /// Discovery has told something. False where an entry made no sense: what it changes is unknown.
-    pub fn servers_changed(self: &Rc<Self>, list: &ServerList) -> bool {
+    pub fn servers_changed(self: &Rc<Self>, list: &ServerList<'_>) -> bool {
         let whole = self.list(list, if list.complete { ListUpdate::Full } else { ListUpdate::Delta });
         self.set_ready();
         whole
     }
 
-    fn list(self: &Rc<Self>, list: &ServerList, update: ListUpdate) -> bool {
+    fn list(self: &Rc<Self>, list: &ServerList<'_>, update: ListUpdate) -> bool {
         let mut entries = Vec::new();
         let mut whole = true;
         {
             let mut state = self.state.borrow_mut();
-            let mut named = Vec::new();
             for member in list.members() {
                 let member = member.inspect_err(|e| log::warn!("discovery: an entry cannot be read: {e}"));
                 match member.ok().and_then(|member| self.learn(&mut state.servers, &member)) {
-                    Some(entry) => {
-                        named.push(entry.server);
-                        entries.push(entry);
-                    }
+                    Some(entry) => entries.push(entry),
                     None => whole = false,
                 }
             }
             if update != ListUpdate::Delta {
+                let named: HashSet<ServerId> = entries.iter().map(|entry| entry.server).collect();
                 state.servers.retain(|id, _| named.contains(id));
             }
             self.pool.keep_only(|id| state.servers.get(&id).is_some_and(|s| s.ready));
@@ -494,9 +491,9 @@
     }
 
     /// Takes in one line of a list, unless it makes no sense.
-    fn learn(&self, servers: &mut HashMap<ServerId, Fleet>, member: &Member) -> Option<ServerEntry> {
+    fn learn(&self, servers: &mut HashMap<ServerId, Fleet>, member: &Member<'_>) -> Option<ServerEntry> {
         let server = server_id(&member.id);
-        let state = match member.phase.as_str() {
+        let state = match member.phase.as_ref() {
             "Ready" => ServerState::Ready,
             "Terminating" => ServerState::Draining,
             "Gone" => ServerState::Gone,
@@ -519,7 +516,7 @@
                 log::warn!("discovery: {} has no address that can be read", member.id);
                 None
             })?;
-            servers.insert(server, Fleet { id: member.id.clone(), address, ready });
+            servers.insert(server, Fleet { id: member.id.to_string(), address, ready });
         }
         let zone = self.names.zones.iter().position(|z| *z == member.locality);
         Some(ServerEntry {
--- a/tests/fakes/mod.rs
+++ b/tests/fakes/mod.rs
@@ -245,6 +245,8 @@
     pub mute: Arc<AtomicBool>,
     /// Calls are taken and never answered, as by an agent while discovery is down.
     pub deaf: Arc<AtomicBool>,
+    /// What is told goes out in pieces of so many bytes.
+    pub piece: Arc<AtomicUsize>,
 }
 
 impl Discovery {
@@ -256,10 +258,13 @@
         let (list_there, asked_there, watches_there) = (list.clone(), asked.clone(), watches.clone());
         let deaf = Arc::new(AtomicBool::new(false));
         let deaf_there = deaf.clone();
+        let piece = Arc::new(AtomicUsize::new(usize::MAX));
+        let piece_there = piece.clone();
         std::thread::spawn(move || {
             let mut unanswered = Vec::new();
             for mut stream in listener.incoming().flatten() {
                 let mut reader = BufReader::new(stream.try_clone().expect("a clone"));
+                stream.set_nodelay(true).expect("no delay");
                 let Some(message) = read_message(&mut reader) else { continue };
                 asked_there.lock().expect("a lock").push(message.start.clone());
                 if deaf_there.load(Ordering::SeqCst) {
@@ -272,7 +277,11 @@
                     watches_there.lock().expect("a lock").push(stream);
                 } else {
                     let list = list_there.lock().expect("a lock").clone();
-                    let _ = stream.write_all(&answer("200 OK", "", list.as_bytes()));
+                    for piece in
+                        answer("200 OK", "", list.as_bytes()).chunks(piece_there.load(Ordering::SeqCst))
+                    {
+                        let _ = stream.write_all(piece);
+                    }
                 }
             }
         });
@@ -286,13 +295,16 @@
                 }
             }
         });
-        Discovery { address, list, asked, watches, mute, deaf }
+        Discovery { address, list, asked, watches, mute, deaf, piece }
     }
 
-    /// Writes a piece of a watch's answer as a chunk of its own.
+    /// Writes a piece of a watch's answer as a chunk of its own, or several.
     pub fn write(&self, piece: &str) {
         for stream in self.watches.lock().expect("a lock").iter_mut() {
-            let _ = stream.write_all(format!("{:x}\r\n{piece}\r\n", piece.len()).as_bytes());
+            for piece in piece.as_bytes().chunks(self.piece.load(Ordering::SeqCst)) {
+                let head = format!("{:x}\r\n", piece.len());
+                let _ = stream.write_all(&[head.as_bytes(), piece, b"\r\n"].concat());
+            }
         }
     }
 
@@ -482,6 +494,13 @@
 
     /// Starts the limiter and waits until it says that it can serve.
     pub fn start(&self) -> Limiter {
+        let limiter = self.launch();
+        eventually("healthz", || limiter.client().get("/healthz", "").status() == 200);
+        limiter
+    }
+
+    /// Starts the limiter and waits until it listens.
+    pub fn launch(&self) -> Limiter {
         static NEXT: AtomicUsize = AtomicUsize::new(0);
         let name = format!("oatbank-{}-{}.json", std::process::id(), NEXT.fetch_add(1, Ordering::SeqCst));
         let path = std::env::temp_dir().join(name);
@@ -505,9 +524,7 @@
             }
         };
         std::thread::spawn(move || log.for_each(drop));
-        let limiter = Limiter { child, address, gateways: self.gateways, path };
-        eventually("healthz", || limiter.client().get("/healthz", "").status() == 200);
-        limiter
+        Limiter { child, address, gateways: self.gateways, path }
     }
 }
 
