Ask a failing agent at least twice a second, and drive each state of the follower

Seen: the longest pause between two calls is a quarter of drain_grace without a bound, 5 s at a grace of 20 s; the test finds 4.6 s until a sound agent is heard, and an object that takes its 2 s would come on top (by arithmetic).

Change: the pause is 0.5 s at the most. Where drain_grace is 1 s nothing changes.

Test: an agent in memory and paused time (tests/unit/follower.rs). Thirteen ways to be bad (hangs at connect, at the head, in the body, in an object; trickles the head, a chunk's head, an object, white space; refuses; closes; nonsense; entries that cannot be read) at three stages (no list, a list, a watch), each left at 90 moments over 8.7 s, the agent then sound or slow (its object takes 1.95 s): the drain is in force in the driver within 2.5 s of a sound agent's return and 4.4 s of a slow one's. The same with SIGHUP to another agent: 5 ms and 1.9 s, and 2.2 s where the new one is bad first.

--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -45,8 +45,9 @@
 /// opened anew: it may be dead while the agent is not, and what the agent has counts as told. Where it is
 /// discovery that is down, asking again costs nothing.
 const SILENCE: Duration = Duration::from_millis(2300);
-/// First pause after a failure; doubles up to the longest.
+/// First pause after a failure; doubles up to the longest, which is this at the most.
 const PAUSE: Duration = Duration::from_millis(50);
+const LONGEST_PAUSE: Duration = Duration::from_millis(500);
 /// A buffer that has grown over this, bytes, is given back once it is empty.
 const KEPT_BUFFER: usize = 1 << 16;
 
@@ -201,7 +202,7 @@
 
 impl CallTiming {
     fn within(grace: Duration) -> Self {
-        let longest_pause = grace.mul_f64(PAUSE_SHARE).max(PAUSE);
+        let longest_pause = grace.mul_f64(PAUSE_SHARE).clamp(PAUSE, LONGEST_PAUSE);
         CallTiming { patience: grace.mul_f64(CALL_SHARE).clamp(PAUSE, STALL), longest_pause }
     }
 }
@@ -513,3 +514,7 @@
 #[cfg(test)]
 #[path = "../../tests/unit/discovery.rs"]
 mod tests;
+
+#[cfg(test)]
+#[path = "../../tests/unit/follower.rs"]
+mod follower_tests;
