Ask for the whole list where watches stay mute

Seen: a follower that has a list asks for nothing but a watch. Where the agent answers those calls and they bring nothing (refused, closed behind the head, silent from the first byte, a chunk's head that trickles) while its list is sound, a change was never acted on: 12 s, the end of the test, at every moment tried.

Change: where calls for a watch are answered and bring nothing, not an empty line, for 3 s, the next round begins with the whole list. Calls that time out do not count, so that an agent that was down is asked for what changed, and neither does a watch that was quiet and is reset.

Measured, worst of 30 moments: 4.8 s (silent, trickling), 3.1 s (refused, closed); at most 20 whole lists in a minute.

--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -48,6 +48,10 @@
 /// First pause after a failure; doubles up to the longest, which is this at the most.
 const PAUSE: Duration = Duration::from_millis(50);
 const LONGEST_PAUSE: Duration = Duration::from_millis(500);
+/// Where calls for a watch are answered and bring nothing at all, not an empty line, for this long, the whole
+/// list is asked for: the agent may have what its watches do not tell. Longer than one silent watch, so that
+/// lists stay rare.
+const MUTE: Duration = Duration::from_secs(3);
 /// A buffer that has grown over this, bytes, is given back once it is empty.
 const KEPT_BUFFER: usize = 1 << 16;
 
@@ -184,7 +188,8 @@
 async fn follow<L: Learn, A: Connect>(learn: L, agent: A, known: Option<u64>, bounds: Bounds) {
     let timing = CallTiming::within(bounds.drain_grace);
     let most_bytes = bounds.most_bytes;
-    let mut state = Follower { learn, agent, since: known, timing, most_bytes, pause: PAUSE };
+    let mut state =
+        Follower { learn, agent, since: known, timing, most_bytes, pause: PAUSE, mute_since: None };
     loop {
         let Err(e) = state.round().await;
         log::warn!("discovery: {e}; again in {} ms", state.pause.as_millis());
@@ -215,16 +220,28 @@
     /// The version that is known without a gap; without one, the whole list is due.
     since: Option<u64>,
     pause: Duration,
+    /// Since when calls for a watch are answered and bring nothing.
+    mute_since: Option<Instant>,
 }
 
 impl<L: Learn, A: Connect> Follower<L, A> {
     /// One watch; it ends only by failing.
     async fn round(&mut self) -> Result<Infallible, Failure> {
         let since = match self.since {
-            Some(since) => since,
-            None => self.whole_list().await?,
+            Some(since) if self.mute_since.is_none_or(|at| at.elapsed() < MUTE) => since,
+            _ => self.whole_list().await?,
         };
-        let mut answer = self.get(&format!("/v1/servers?follow=1&since={since}")).await?;
+        let mut answer = match self.get(&format!("/v1/servers?follow=1&since={since}")).await {
+            Ok(answer) => answer,
+            Err(e) => {
+                if e.is::<Refused>() {
+                    self.mute_since.get_or_insert_with(Instant::now);
+                }
+                return Err(e);
+            }
+        };
+        // Until a byte of it has come.
+        self.mute_since.get_or_insert_with(Instant::now);
         loop {
             match answer.object() {
                 Ok(Some(list)) => {
@@ -239,7 +256,7 @@
             // Dropped at this await, a piece that has come is lost with the connection; the next watch
             // begins after the last object that was taken whole.
             match answer.piece(SILENCE).await {
-                Ok(()) => {}
+                Ok(()) => self.mute_since = None,
                 // What the object would have changed is unknown.
                 Err(e) if e.is::<Unended>() => return self.unreadable(e),
                 Err(e) => return Err(e),
@@ -260,6 +277,7 @@
             if let Some(list) = answer.object()? {
                 // An entry of it that cannot be read stays left out: asking again would bring the same list.
                 self.take(&ServerList { complete: true, ..list });
+                self.mute_since = None;
                 return Ok(self.since.unwrap_or(0));
             }
             // Dropped at this await, all that has come is lost, and the list is asked for again.
@@ -289,11 +307,23 @@
         let answer = timeout(patience, sender.send_request(request)).await??;
         match answer.status() {
             StatusCode::OK => Ok(Answer::new(answer.into_body(), self.most_bytes, connection)),
-            status => Err(format!("answered {status}").into()),
+            status => Err(Refused(status).into()),
         }
     }
 }
 
+/// The agent has answered that it will not.
+#[derive(Debug)]
+struct Refused(StatusCode);
+
+impl Display for Refused {
+    fn fmt(&self, f: &mut Formatter<'_>) -> std::fmt::Result {
+        write!(f, "answered {}", self.0)
+    }
+}
+
+impl Error for Refused {}
+
 /// An object has begun and does not end.
 #[derive(Debug)]
 struct Unended;
--- a/tests/unit/follower.rs
+++ b/tests/unit/follower.rs
@@ -374,6 +374,48 @@
     }
 }
 
+#[test]
+fn what_no_watch_tells_comes_by_the_whole_list() {
+    // Its calls for a watch go on failing; only its list tells.
+    for mode in [Mode::HangsInBody, Mode::Refuses, Mode::ClosesBehindHead, Mode::TricklesChunkHead] {
+        let longest = moments().step_by(3).map(|bad_for| {
+            paused(|told, bounds| async move {
+                let agent = Agent::new(Mode::Sound, 1);
+                agent.0.watches.set(Some(mode));
+                let _following = Following::start(&told, agent.clone(), Some(1), bounds);
+                sleep(bad_for).await;
+                agent.0.revision.set(2);
+                until_drained(&told).await
+            })
+        });
+        let longest = longest.max().expect("moments");
+        println!("watches that are {mode:?} for ever: acted on after {} ms", longest.as_millis());
+        assert!(longest < TOLD, "{mode:?}: {longest:?}");
+        let lists = paused(|told, bounds| async move {
+            let agent = Agent::new(Mode::Sound, 1);
+            agent.0.watches.set(Some(mode));
+            let _following = Following::start(&told, agent.clone(), Some(1), bounds);
+            sleep(10 * TOLD).await;
+            agent.0.lists.get()
+        });
+        assert!(lists <= 20, "{mode:?}: {lists} whole lists in a minute");
+    }
+    // A sound watch that was reset now and then is no cause for one, and neither is an agent that was down.
+    paused(|told, bounds| async move {
+        let agent = Agent::new(Mode::Sound, 1);
+        let _following = Following::start(&told, agent.clone(), Some(1), bounds);
+        for mode in [Mode::Closes, Mode::HangsAtHead, Mode::HangsAtConnect, Mode::Closes] {
+            sleep(Duration::from_secs(3)).await;
+            agent.0.mode.set(mode);
+            sleep(Duration::from_secs(3)).await;
+            agent.0.mode.set(Mode::Sound);
+        }
+        agent.0.revision.set(2);
+        until_drained(&told).await;
+        assert_eq!(agent.0.lists.get(), 0);
+    });
+}
+
 #[test]
 fn an_agent_that_stays_bad_is_neither_asked_without_a_pause_nor_forgotten_with_a_long_grace() {
     for grace in [1000, 20_000].map(Duration::from_millis) {
