--- a/src/logic.rs
+++ b/src/logic.rs
@@ -11,6 +11,7 @@
 mod counter;
 mod pressure;
 mod quota;
+mod slow_start;
 mod sparse;
 
 pub use counter::patience;
--- a/src/logic/choice.rs
+++ b/src/logic/choice.rs
@@ -55,15 +55,6 @@
         }
     }
 
-    /// Share of its full capacity that a server surely has by now.
-    pub(super) fn warmth(&self, now: Millis, server: &Server) -> f64 {
-        let age = now - server.entry.started;
-        if server.entry.started <= 0.0 || age >= self.set.warm_after {
-            return 1.0;
-        }
-        self.set.cold_start + (1.0 - self.set.cold_start) * (age / self.set.warm_after).max(0.0)
-    }
-
     /// The cheapest server a request may go to: mean answer time times what is out there already.
     pub(super) fn choose(&mut self, now: Millis, open: &Open) -> Option<ServerId> {
         let ran = open.attempts.iter().find(|a| a.may_have_run).copied();
@@ -87,7 +78,7 @@
             let roll = self.chance();
             let warmth = self.warmth(now, &self.servers[&id]);
             let fleet = self.flow.mean.max(1.0);
-            let Some(s) = self.servers.get_mut(&id) else { continue };
+            let Some(s) = self.servers.get(&id) else { continue };
             if s.entry.state != ServerState::Ready || s.paused_until > now {
                 continue;
             }
@@ -105,16 +96,10 @@
             if !healthy(s) && (2 * healthy_count >= ready || s.unreachable) {
                 continue;
             }
-            if warmth < 1.0 {
-                // Slow start: each gateway sends a cold server no more than its own mean rate to a warm one,
-                // scaled by the surely present capacity; danger is toppling it, by a burst or together.
-                let rate = warmth * per_server.max(0.0005);
-                s.tokens = (s.tokens + (now - s.tokens_at).max(0.0) * rate).min(1.0);
-                s.tokens_at = now;
-                if s.tokens < 1.0 {
-                    continue;
-                }
+            if !self.cold_start_allows(now, id, per_server) {
+                continue;
             }
+            let Some(s) = self.servers.get(&id) else { continue };
             let slack = if subset { SUBSET_FORGET } else { 1.0 };
             let stale = (-(now - s.heard).max(0.0) / (FORGET * slack)).exp();
             let mean = if s.mean > 0.0 { fleet + (s.mean - fleet) * stale } else { fleet };
