--- a/src/lib.rs
+++ b/src/lib.rs
@@ -23,6 +23,7 @@
 //! assert!(actions.iter().any(|a| matches!(a, Action::Send { server: ServerId(1), .. })));
 //! ```
 
+mod fleet;
 pub mod interface;
 pub mod logic;
 pub mod net;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -1,6 +1,7 @@
 //! Every decision of a gateway, in the order a request meets them. The vocabulary (settings, events,
 //! actions) is in `src/interface.rs`; each departure from the rule is told where it is decided.
 
+use crate::fleet::{below, ones, share, Draws, Fleet, Place, Standing, Walk};
 use crate::interface::*;
 use crate::state::*;
 use rand_core::{RngCore, SeedableRng};
@@ -55,7 +56,7 @@
 pub struct Gateway {
     set: Settings,
     rng: Pcg64Mcg,
-    servers: BTreeMap<ServerId, Server>,
+    servers: Fleet,
     customers: BTreeMap<CustomerId, Customer>,
     /// Customers with something to tell the counter.
     unsynced: BTreeSet<CustomerId>,
@@ -63,11 +64,12 @@
     idle_cursor: CustomerId,
     calls: BTreeMap<CountName, (CustomerId, usize)>,
     open: BTreeMap<RequestId, Open>,
-    held: Vec<RequestId>,
+    held: BTreeSet<RequestId>,
     class_mean: Vec<Millis>,
-    /// The servers in this gateway's own order.
-    ranked: Vec<ServerId>,
-    salt: u64,
+    /// What the last choice went through, kept for its memory alone.
+    walk: Walk,
+    /// Servers and blocks of servers looked at by choices so far.
+    looks: u64,
     flow: Flow,
     acts: Vec<Action>,
 }
@@ -79,17 +81,17 @@
         Gateway {
             class_mean: set.classes.iter().map(|c| c.aim / 5.0).collect(),
             flow: Flow { retries: RETRY_SAVED, pace: 1.0, ..Flow::default() },
-            salt: rng.next_u64(),
+            servers: Fleet::new(rng.next_u64()),
             set,
             rng,
-            servers: BTreeMap::new(),
             customers: BTreeMap::new(),
             unsynced: BTreeSet::new(),
             idle_cursor: CustomerId(0),
             calls: BTreeMap::new(),
             open: BTreeMap::new(),
-            held: Vec::new(),
-            ranked: Vec::new(),
+            held: BTreeSet::new(),
+            walk: Walk::default(),
+            looks: 0,
             acts: Vec::new(),
         }
     }
@@ -99,6 +101,11 @@
         self.customers.len()
     }
 
+    /// Servers, and blocks of up to 64 of them, that choices of a server have looked at so far.
+    pub fn looks(&self) -> u64 {
+        self.looks
+    }
+
     /// Takes in one event and appends what is to be done.
     pub fn handle(&mut self, now: Millis, event: Event, actions: &mut Vec<Action>) {
         if !self.flow.started {
@@ -126,7 +133,7 @@
     }
 
     fn chance(&mut self) -> f64 {
-        (self.rng.next_u64() >> 11) as f64 / (1u64 << 53) as f64
+        share(&mut self.rng)
     }
 
     fn mean(&self, open: &Open) -> Millis {
--- a/src/logic/choice.rs
+++ b/src/logic/choice.rs
@@ -23,104 +23,164 @@
 /// That pause is this many times longer where a server is met every few seconds only.
 const RARE_PAUSE: f64 = 20.0;
 
+/// Leaves room for rounding where a cost is bounded from below.
+const NEARLY: f64 = 0.999;
+
 impl Gateway {
     pub(super) fn list(&mut self, now: Millis, update: ListUpdate, entries: Vec<ServerEntry>) {
         if update == ListUpdate::Failed {
             return self.acts.push(Action::Watch);
         }
         if update != ListUpdate::Delta {
-            let named: Vec<ServerId> = entries.iter().map(|e| e.server).collect();
-            self.servers.retain(|id, _| named.contains(id));
+            self.servers.begin_list();
         }
         for entry in entries {
             if entry.state == ServerState::Gone {
-                self.servers.remove(&entry.server);
+                self.servers.remove(entry.server);
                 continue;
             }
             let (started, fleet) = (entry.started, self.flow.mean);
-            let known = self.servers.entry(entry.server).or_default();
+            let place = self.servers.enter(entry.server);
+            let known = self.servers.at_mut(place);
             if known.heard == 0.0 || known.entry.started != started {
                 // A new process: what was known of the old one is void, but its attempts still end.
                 let (out, mean) = (known.out, fleet);
                 *known = Server { out, mean, heard: now, tokens_at: started, ..Server::default() };
             }
             known.entry = entry;
+            self.review(now, place);
+        }
+        if update != ListUpdate::Delta {
+            self.servers.drop_unlisted();
         }
-        self.ranked = self.servers.keys().copied().collect();
-        let salt = self.salt;
-        self.ranked
-            .sort_by_key(|s| (u64::from(s.0) ^ salt).wrapping_mul(0x9e37_79b9_7f4a_7c15).rotate_left(29));
         if self.flow.limit <= 0.0 {
             self.flow.limit = START_LIMIT * self.servers.len() as f64 / self.set.gateways.max(1.0);
         }
     }
 
+    /// Counts a server by what is known of it now, until time alone changes that.
+    fn review(&mut self, now: Millis, place: Place) {
+        let s = self.servers.at(place);
+        let standing = Standing {
+            ready: s.entry.state == ServerState::Ready,
+            paused: s.paused_until > now,
+            healthy: s.ejected_until <= now && (s.fails < EJECT_AFTER || s.out < 1.0),
+            reachable: !s.unreachable,
+            warm: self.warmth(now, s) >= 1.0,
+        };
+        let (ejected, warm_at) = (s.ejected_until > now, s.entry.started + self.set.warm_after);
+        let ends = [(standing.paused, s.paused_until), (ejected, s.ejected_until), (!standing.warm, warm_at)];
+        let until = ends.into_iter().filter(|e| e.0).map(|e| e.1).fold(Millis::INFINITY, Millis::min);
+        self.servers.stand(place, standing, until);
+    }
+
+    /// Counts an attempt as out at its server.
+    pub(super) fn sent_to(&mut self, now: Millis, server: ServerId) {
+        let Some(place) = self.servers.find(server) else { return };
+        let s = self.servers.at_mut(place);
+        s.out += 1.0;
+        s.tokens -= 1.0;
+        self.review(now, place);
+    }
+
     /// The cheapest server a request may go to: mean answer time times what is out there already.
     pub(super) fn choose(&mut self, now: Millis, open: &Open) -> Option<ServerId> {
+        for place in self.servers.due(now) {
+            self.review(now, place);
+        }
         let ran = open.attempts.iter().find(|a| a.may_have_run).copied();
         let bound = ran.and_then(|a| self.servers.get(&a.server)).map(|s| (s.entry.zone, s.entry.cell));
-        let warm = self.servers.values().filter(|s| self.warmth(now, s) >= 1.0).count().max(1) as f64;
-        let per_server = self.flow.send_rate / warm;
-        let ready = self.servers.values().filter(|s| s.entry.state == ServerState::Ready).count();
-        let healthy = |s: &Server| s.ejected_until <= now && (s.fails < EJECT_AFTER || s.out < 1.0);
-        let healthy_count = self.servers.values().filter(|s| healthy(s)).count();
+        let per_server = self.flow.send_rate / self.servers.warm.max(1) as f64;
+        let ready = self.servers.ready;
         // Subsetting: danger is that evidence of each server comes too rarely to act on. Of a subset, in an
         // order of this gateway's own, two are compared: all compared would send many gateways to one server
         // at once. It covers every kind of slowness and hurts by uneven shares.
         let size = (self.flow.send_rate * SUBSET_SPAN).max(SUBSET_LEAST);
         let subset = size < ready as f64;
         self.flow.subset = subset;
-        let mut able = Vec::new();
-        for id in self.ranked.clone() {
-            if subset && able.len() as f64 >= size {
+        let repeat = open.class.repeat;
+        let anywhere =
+            ran.is_none() || matches!(repeat, Repeat::Safe | Repeat::Keyed { group: Group::All, .. });
+        let allowed = |s: &Server| match repeat {
+            Repeat::Keyed { group: Group::Zone, .. } => bound.is_some_and(|b| b.0 == s.entry.zone),
+            Repeat::Keyed { group: Group::Cell, .. } => bound.is_some_and(|b| b.1 == s.entry.cell),
+            _ => false,
+        };
+        let met = open.attempts.iter().filter(|a| a.live || ready > 1);
+        let met: Vec<Place> = met.filter_map(|a| self.servers.find(a.server)).collect();
+        // Ejection holds while half of the fleet is sound; past that, slowness is everyone's and only
+        // servers that cannot be reached stay out.
+        let ejecting = 2 * self.servers.healthy >= ready;
+        let mut walk = std::mem::take(&mut self.walk);
+        walk.begin(if subset { size.ceil() as usize } else { usize::MAX });
+        for b in 0..self.servers.blocks.len() {
+            if walk.room() == 0 {
                 break;
             }
-            let roll = self.chance();
-            let warmth = self.warmth(now, &self.servers[&id]);
-            let fleet = self.flow.mean.max(1.0);
-            let Some(s) = self.servers.get(&id) else { continue };
-            if s.entry.state != ServerState::Ready || s.paused_until > now {
-                continue;
+            let block = &self.servers.blocks[b];
+            let mut able = block.sound | if ejecting { 0 } else { block.ailing };
+            able &= !met.iter().filter(|m| m.0 == b).fold(0, |bits, m| bits | 1 << m.1);
+            self.looks += 1;
+            if !anywhere {
+                self.looks += u64::from(able.count_ones());
+                able &= block.matching(able, allowed);
             }
-            let allowed = match open.class.repeat {
-                Repeat::Keyed { group: Group::Zone, .. } => bound.is_some_and(|b| b.0 == s.entry.zone),
-                Repeat::Keyed { group: Group::Cell, .. } => bound.is_some_and(|b| b.1 == s.entry.cell),
-                repeat => repeat != Repeat::Unsafe,
-            };
-            let met = open.attempts.iter().any(|a| a.server == id && (a.live || ready > 1));
-            if met || ran.is_some() && !allowed {
-                continue;
+            for i in ones(able & block.cold) {
+                if (able & below(i)).count_ones() as usize >= walk.room() {
+                    break;
+                }
+                self.looks += 1;
+                if !self.cold_start_allows(now, (b, i), per_server) {
+                    able &= !(1 << i);
+                }
             }
-            // Ejection holds while half of the fleet is sound; past that, slowness is everyone's and only
-            // servers that cannot be reached stay out.
-            if !healthy(s) && (2 * healthy_count >= ready || s.unreachable) {
-                continue;
+            walk.take(b, able, self.servers.blocks[b].slots.len());
+        }
+        // Each server passed has a draw of its own, whether it is used or not.
+        let mut draws = Draws::new(self.rng.clone());
+        self.rng.advance(walk.passed as u128);
+        let mut best = (Millis::INFINITY, None);
+        if subset && walk.count > 2 {
+            let first = (self.chance() * walk.count as f64) as usize;
+            let other = (first + 1 + (self.chance() * (walk.count - 1) as f64) as usize) % walk.count;
+            for (place, rank) in [first, other].into_iter().filter_map(|n| walk.nth(n)) {
+                self.compare(now, place, draws.at(rank), &mut best);
             }
-            if !self.cold_start_allows(now, id, per_server) {
-                continue;
+        } else {
+            for (place, rank) in walk.all() {
+                self.compare(now, place, draws.at(rank), &mut best);
             }
-            let Some(s) = self.servers.get(&id) else { continue };
-            let slack = if subset { SUBSET_FORGET } else { 1.0 };
-            let stale = (-(now - s.heard).max(0.0) / (FORGET * slack)).exp();
-            let mean = if s.mean > 0.0 { fleet + (s.mean - fleet) * stale } else { fleet };
-            let cost = mean * (1.0 + s.out) * (1.0 + 0.1 * roll) / warmth;
-            able.push((cost, id));
         }
-        if subset && able.len() > 2 {
-            let first = (self.chance() * able.len() as f64) as usize;
-            let other = (first + 1 + (self.chance() * (able.len() - 1) as f64) as usize) % able.len();
-            able = vec![able[first], able[other]];
+        self.walk = walk;
+        best.1
+    }
+
+    /// Takes a server as the best if it is cheaper.
+    fn compare(&mut self, now: Millis, place: Place, roll: f64, best: &mut (Millis, Option<ServerId>)) {
+        self.looks += 1;
+        let (s, fleet) = (self.servers.at(place), self.flow.mean.max(1.0));
+        let cost = |mean: Millis| mean * (1.0 + s.out) * (1.0 + 0.1 * roll) / self.warmth(now, s);
+        let mean = if s.mean > 0.0 { s.mean } else { fleet };
+        // What it is taken for lies between its own mean and the fleet's: most need no closer look.
+        if cost(mean.min(fleet)) * NEARLY > best.0 {
+            return;
+        }
+        let slack = if self.flow.subset { SUBSET_FORGET } else { 1.0 };
+        let stale = (-(now - s.heard).max(0.0) / (FORGET * slack)).exp();
+        let cost = cost(fleet + (mean - fleet) * stale);
+        if best.1.is_none() || cost < best.0 {
+            *best = (cost, Some(s.entry.server));
         }
-        able.into_iter().min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, id)| id)
     }
 
     /// Takes the end of an attempt as evidence of its server's health.
     pub(super) fn learn(&mut self, now: Millis, server: ServerId, outcome: Outcome, took: Millis) {
         let rare = self.flow.subset;
-        let Some(s) = self.servers.get_mut(&server) else { return };
+        let Some(place) = self.servers.find(server) else { return };
+        let s = self.servers.at_mut(place);
         s.out = (s.out - 1.0).max(0.0);
         match outcome {
-            Outcome::Moot => return,
+            Outcome::Moot => return self.review(now, place),
             Outcome::Full => s.paused_until = now + FULL_PAUSE * if rare { RARE_PAUSE } else { 1.0 },
             Outcome::Ok => {
                 (s.fails, s.ejections, s.unreachable) = (0, 0, false);
@@ -147,5 +207,6 @@
             s.mean = if s.mean > 0.0 { s.mean + gain * (took - s.mean) } else { took };
             s.heard = now;
         }
+        self.review(now, place);
     }
 }
--- a/src/logic/pressure.rs
+++ b/src/logic/pressure.rs
@@ -17,12 +17,9 @@
         let Some(open) = self.open.remove(&id) else { return false };
         let free = self.flow.out < self.flow.limit.max(1.0) && now >= self.flow.rest_until;
         let chosen = if free { self.choose(now, &open) } else { None };
+        chosen.iter().for_each(|server| self.sent_to(now, *server));
         let open = self.open.entry(id).or_insert(open);
         let Some(server) = chosen else { return false };
-        if let Some(s) = self.servers.get_mut(&server) {
-            s.out += 1.0;
-            s.tokens -= 1.0;
-        }
         let until = if open.class.late_worth > 0.0 { open.ends_at } else { open.aim_at };
         let timeout = (until - now).max(1.0);
         self.acts.push(Action::Send { id, server, timeout });
@@ -154,7 +151,7 @@
             _ => !ran,
         };
         let retry_after = self.come_back(open);
-        self.held.retain(|h| *h != id);
+        self.held.remove(&id);
         if self.close(id, now) {
             self.acts.push(if harmless { Action::Refuse { id, retry_after } } else { Action::Fail(id) });
         }
--- a/src/logic/quota.rs
+++ b/src/logic/quota.rs
@@ -143,9 +143,7 @@
     }
 
     pub(super) fn hold(&mut self, id: RequestId) {
-        if !self.held.contains(&id) {
-            self.held.push(id);
-        }
+        self.held.insert(id);
     }
 
     pub(super) fn admit(&mut self, now: Millis, id: RequestId) -> Verdict {
--- a/src/logic/slow_start.rs
+++ b/src/logic/slow_start.rs
@@ -1,4 +1,5 @@
-//! Slow start: what a cold server may be sent, so that it does not fall under the sum of what all gateways send.
+//! Slow start: what a cold server may be sent, so that it does not fall under the sum of what all gateways
+//! send.
 
 use super::*;
 
@@ -13,9 +14,12 @@
     }
 
     /// Whether a server may be sent an attempt now: a warm one always.
-    pub(super) fn cold_start_allows(&mut self, now: Millis, id: ServerId, per_server: f64) -> bool {
-        let warmth = self.servers.get(&id).map_or(1.0, |s| self.warmth(now, s));
-        let Some(s) = self.servers.get_mut(&id).filter(|_| warmth < 1.0) else { return true };
+    pub(super) fn cold_start_allows(&mut self, now: Millis, place: Place, per_server: f64) -> bool {
+        let warmth = self.warmth(now, self.servers.at(place));
+        if warmth >= 1.0 {
+            return true;
+        }
+        let s = self.servers.at_mut(place);
         // Slow start: each gateway sends a cold server no more than its own mean rate to a warm one,
         // scaled by the surely present capacity; danger is toppling it, by a burst or together.
         let rate = warmth * per_server.max(0.0005);
