Close a given-up connection to a server at once, and blame no server for a lack of places

A connection that gave way, or whose attempt was called off, freed its place at once, but its socket stood open until its task's next turn (`Connection::drop` only called the task off). In a burst over full places each attempt opened a socket before any of the old ones was closed: up to twice the servers' share of descriptors, beyond what is kept for discovery, the counter and the configuration's file. The socket is now closed by whoever ends the connection first. Checked by a unit test: the peer reads the close with no turn of the runtime in between; without the change it waits in vain.

An attempt for which no place or descriptor was free counted as one that could not connect, against its server: where few requests are seen one such failure ejects a server, though nothing was asked of it. It now ends as never sent (`Outcome::Moot`), of which the module learns nothing; the request may go on to another attempt as before.

--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -23,10 +23,10 @@
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::task::{ready, Context, Poll};
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::task::AbortHandle;
 
 /// Longest body taken from a server.
@@ -97,64 +97,88 @@
 /// taken whole, the parser holds and gives its connection up for; what came later stands in the socket, and
 /// the runtime need not have heard of it yet, so the socket itself is asked.
 struct Noted {
-    stream: TcpStream,
+    socket: Socket,
     wrote: Rc<Cell<bool>>,
 }
 
+/// A connection's socket, which whoever ends the connection first closes: its task would come to that only in
+/// its next turn, and until then a descriptor would be open that is not counted.
+#[derive(Clone)]
+struct Socket(Rc<RefCell<Option<TcpStream>>>);
+
+impl Socket {
+    fn new(stream: TcpStream) -> Self {
+        Socket(Rc::new(RefCell::new(Some(stream))))
+    }
+
+    fn with<T>(&self, act: impl FnOnce(&mut TcpStream) -> Poll<io::Result<T>>) -> Poll<io::Result<T>> {
+        self.0.borrow_mut().as_mut().map_or_else(|| Poll::Ready(Err(io::ErrorKind::NotConnected.into())), act)
+    }
+
+    fn close(&self) {
+        drop(self.0.take());
+    }
+}
+
+impl Drop for Noted {
+    fn drop(&mut self) {
+        self.socket.close();
+    }
+}
+
 impl AsyncRead for Noted {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(cx, buf)
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        self.socket.with(|stream| Pin::new(stream).poll_read(cx, buf))
     }
 }
 
 impl AsyncWrite for Noted {
-    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        self.check()?;
-        let done = Pin::new(&mut self.stream).poll_write(cx, buf);
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        ready!(self.check())?;
+        let done = self.socket.with(|stream| Pin::new(stream).poll_write(cx, buf));
         self.note(&done);
         done
     }
 
     fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        self.check()?;
-        let done = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        ready!(self.check())?;
+        let done = self.socket.with(|stream| Pin::new(stream).poll_write_vectored(cx, bufs));
         self.note(&done);
         done
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
+        true
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.socket.with(|stream| Pin::new(stream).poll_flush(cx))
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.socket.with(|stream| Pin::new(stream).poll_shutdown(cx))
     }
 }
 
 impl Noted {
-    fn check(&self) -> io::Result<()> {
+    fn check(&self) -> Poll<io::Result<()>> {
         if self.wrote.get() {
-            return Ok(());
-        }
-        match SockRef::from(&self.stream).peek(&mut [MaybeUninit::uninit()]) {
-            Err(e) if e.kind() == io::ErrorKind::WouldBlock => Ok(()),
-            Err(e) => Err(e),
-            Ok(_) => {
-                Err(io::Error::new(io::ErrorKind::InvalidData, "closed, or bytes that no request asked for"))
-            }
+            return Poll::Ready(Ok(()));
         }
+        self.socket.with(|stream| {
+            Poll::Ready(match SockRef::from(&*stream).peek(&mut [MaybeUninit::uninit()]) {
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => Ok(()),
+                Err(e) => Err(e),
+                Ok(_) => {
+                    let why = "closed, or bytes that no request asked for";
+                    Err(io::Error::new(io::ErrorKind::InvalidData, why))
+                }
+            })
+        })
     }
 
     fn note(&self, done: &Poll<io::Result<usize>>) {
@@ -167,6 +191,7 @@
 /// A connection to a server. Dropped, it closes at once, whatever is out on it.
 struct Connection {
     sender: SendRequest<Full<Bytes>>,
+    socket: Socket,
     wrote: Rc<Cell<bool>>,
     task: AbortHandle,
     address: SocketAddr,
@@ -178,6 +203,7 @@
 impl Drop for Connection {
     fn drop(&mut self) {
         self.task.abort();
+        self.socket.close();
     }
 }
 
@@ -255,19 +281,26 @@
         Some(Slot(self.open.clone()))
     }
 
-    async fn connect(&self, address: SocketAddr) -> Option<Connection> {
-        let slot = self.slot()?;
-        let up = tokio::time::timeout(self.connect_timeout, TcpStream::connect(address)).await;
-        let stream = up.ok()?.ok()?;
-        stream.set_nodelay(true).ok()?;
-        let wrote = Rc::new(Cell::new(false));
-        let io = TokioIo::new(Noted { stream, wrote: wrote.clone() });
-        let (sender, connection) = http1::Builder::new().max_buf_size(BUFFER).handshake(io).await.ok()?;
+    /// A new connection, or how the attempt for which it was wanted has ended. Dropped at an `.await`, it frees
+    /// its place after its socket.
+    async fn connect(&self, address: SocketAddr) -> Result<Connection, Outcome> {
+        // What is lacking here is no fault of the server's.
+        let slot = self.slot().ok_or(Outcome::Moot)?;
+        let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() };
+        let connecting = socket.map_err(|_| Outcome::Moot)?.connect(address);
+        let up = tokio::time::timeout(self.connect_timeout, connecting).await;
+        let stream = up.ok().and_then(Result::ok).ok_or(Outcome::ConnectFailed)?;
+        stream.set_nodelay(true).map_err(|_| Outcome::ConnectFailed)?;
+        let (socket, wrote) = (Socket::new(stream), Rc::new(Cell::new(false)));
+        let io = TokioIo::new(Noted { socket: socket.clone(), wrote: wrote.clone() });
+        let up = http1::Builder::new().max_buf_size(BUFFER).handshake(io).await;
+        let (sender, connection) = up.map_err(|_| Outcome::ConnectFailed)?;
         let task = tokio::task::spawn_local(async move {
             // How it ends is seen by the attempt that is out on it.
             let _ = connection.await;
         });
-        Some(Connection { sender, wrote, task: task.abort_handle(), address, idle_since: 0.0, _slot: slot })
+        let task = task.abort_handle();
+        Ok(Connection { sender, socket, wrote, task, address, idle_since: 0.0, _slot: slot })
     }
 }
 
@@ -306,11 +339,12 @@
         let kept = driver.pool.take(job.server, job.address, driver.now());
         let fresh = kept.is_none();
         let connection = match kept {
-            Some(connection) => Some(connection),
+            Some(connection) => Ok(connection),
             None => driver.pool.connect(job.address).await,
         };
-        let Some(mut connection) = connection else {
-            return End::without_answer(Outcome::ConnectFailed);
+        let mut connection = match connection {
+            Ok(connection) => connection,
+            Err(outcome) => return End::without_answer(outcome),
         };
         if connection.sender.ready().await.is_err() {
             if fresh {
--- a/tests/unit/upstream.rs
+++ b/tests/unit/upstream.rs
@@ -24,7 +24,7 @@
             stream.writable().await.expect("a connection that is up");
             let _open = act(server);
             // No await from here on: the runtime hears of nothing.
-            let mut noted = Noted { stream, wrote: Rc::default() };
+            let mut noted = Noted { socket: Socket::new(stream), wrote: Rc::default() };
             let mut cx = Context::from_waker(Waker::noop());
             let wrote = Pin::new(&mut noted).poll_write(&mut cx, b"GET");
             assert_eq!(matches!(wrote, Poll::Ready(Ok(3))), clean, "{wrote:?}");
@@ -56,6 +56,25 @@
     });
 }
 
+#[test]
+fn a_connection_that_is_given_up_closes_at_once_and_without_a_place_nothing_is_opened() {
+    use std::io::Read as _;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address");
+    tokio::task::LocalSet::new().block_on(&runtime, async {
+        let pool = Pool::new(15_000.0, 1000.0, 1);
+        let kept = pool.connect(address).await.expect("a connection");
+        let (mut server, _) = listener.accept().expect("a connection");
+        assert_eq!(pool.connect(address).await.err(), Some(Outcome::Moot), "no fault of the server's");
+        pool.put(ServerId(1), kept, 0.0);
+        // No await from here on: a burst takes all places that it can before any other task has its turn.
+        let _slot = pool.slot().expect("the place of the idle one");
+        server.set_read_timeout(Some(Duration::from_secs(10))).expect("a time-out");
+        assert_eq!(server.read(&mut [0]).expect("a close"), 0);
+    });
+}
+
 #[test]
 fn load_reports_follow_the_settings_order_and_nonsense_is_dropped() {
     let columns = ["queue".to_owned(), "util".to_owned()];
