Answer what stands behind a request before a close, and let an answer arrive before it

Cause, in src/net/front.rs: while the limiter ends or is crowded, every answer announced the close of its connection, also with further requests already read or waiting behind it; those were dropped unanswered (63 requests sent one behind another got 1 answer). And the parser's end of a connection closed the socket right after the shutdown: over a request that crossed, this is a reset, which takes along what of the answer is still in the send queue (60 kB to a slow reader: cut off). Last, a connection that had been asked to leave was closed though bytes had come in the meantime.

A close is now announced by the last answer only; an ending connection stays up to 500 ms after its answer, one retransmission, unless the client closes first, reads nothing more (so that a crossing request may be sent again), and gives way first where a place is wanted; and whether something has come is asked once more before the close.

--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -16,7 +16,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
 use std::convert::Infallible;
-use std::future::poll_fn;
+use std::future::{poll_fn, Future};
 use std::io;
 use std::mem::MaybeUninit;
 use std::net::Shutdown;
@@ -52,6 +52,10 @@
 const FIRST_WORDS: Millis = 100.0;
 /// While the limiter ends, a new connection is waited on for its first request this long, ms.
 const FRESH: Millis = 450.0;
+/// An answer has this long, ms, to reach its client whole before its connection is closed here for good, unless
+/// the client closes first: a close over unread bytes is a reset, and takes along what of the answer is still on
+/// its way. Long enough for a lost segment to be sent again.
+const LINGER: Millis = 500.0;
 /// Longest wait of a client that is believed, ms: an hour.
 const LONGEST_WAIT: Millis = 3_600_000.0;
 
@@ -74,6 +78,8 @@
     Writing,
     /// Between two requests.
     Idle,
+    /// Nothing more is read or written.
+    Closing,
 }
 
 /// What is known of one client connection.
@@ -85,6 +91,7 @@
     heard: Cell<bool>,
     /// Something came while the request before was in hand: the next one has begun.
     ahead: Cell<bool>,
+    heads: Cell<Heads>,
     leave: Notify,
     /// Its time is up: it is dropped, whatever it has sent so far.
     over: Cell<bool>,
@@ -97,12 +104,15 @@
     }
 
     /// Bytes have come.
-    fn hear(&self, now: Millis) {
+    fn hear(&self, bytes: &[u8], now: Millis) {
         self.heard.set(true);
+        let idle = self.phase.get() == Phase::Idle;
+        let heads = if idle { Heads::default() } else { self.heads.get() };
+        self.heads.set(heads.after(bytes));
         match self.phase.get() {
             Phase::Idle => self.enter(Phase::Reading, now),
             Phase::Busy | Phase::Writing => self.ahead.set(true),
-            Phase::Reading => {}
+            Phase::Reading | Phase::Closing => {}
         }
     }
 
@@ -118,7 +128,7 @@
         match self.phase.get() {
             Phase::Reading | Phase::Writing => WHOLE_WITHIN,
             // The driver sees to it that a request is answered in its time.
-            Phase::Busy => f64::INFINITY,
+            Phase::Busy | Phase::Closing => f64::INFINITY,
             Phase::Idle => KEEP_IDLE,
         }
     }
@@ -129,11 +139,37 @@
         !matches!(peeked, Ok(1..))
     }
 
-    /// Owes nothing and has begun nothing: between two requests, or new and silent for as long as that.
-    fn quiet(&self, now: Millis) -> bool {
+    /// Owes nothing and has begun nothing: between two requests, or new.
+    fn may_close(&self) -> bool {
         let fresh = self.phase.get() == Phase::Reading && !self.heard.get();
-        let idle = self.phase.get() == Phase::Idle || fresh && now - self.since.get() > FRESH;
-        idle && self.all_read()
+        (self.phase.get() == Phase::Idle || fresh) && self.all_read()
+    }
+
+    /// The same, and it has not just come.
+    fn quiet(&self, now: Millis) -> bool {
+        (self.phase.get() != Phase::Reading || now - self.since.get() > FRESH) && self.may_close()
+    }
+
+    /// A request has been taken whole.
+    fn take(&self, now: Millis) {
+        self.enter(Phase::Busy, now);
+        let heads = self.heads.get();
+        self.heads.set(Heads { ended: heads.ended.saturating_sub(1), ..heads });
+    }
+
+    /// Nothing has come behind the request in hand.
+    fn last(&self) -> bool {
+        !self.ahead.get() && self.heads.get().ended == 0 && self.all_read()
+    }
+
+    /// For how long the close that is due now has to wait for an answer to arrive.
+    fn linger(&self, now: Millis) -> Duration {
+        let left = match self.phase.get() {
+            Phase::Idle => self.since.get() + LINGER - now,
+            _ if self.heard.get() => LINGER,
+            _ => 0.0,
+        };
+        Duration::from_secs_f64(left.max(0.0) / 1000.0)
     }
 
     fn drop_now(&self) {
@@ -147,6 +183,7 @@
         let since = self.since.get();
         match self.phase.get() {
             Phase::Busy | Phase::Writing => None,
+            Phase::Closing => Some((0, since)),
             Phase::Idle | Phase::Reading if !self.all_read() => None,
             Phase::Reading if now - since > FIRST_WORDS => Some((0, since)),
             Phase::Idle => Some((1, since)),
@@ -155,23 +192,54 @@
     }
 }
 
+/// Ends of heads among the bytes that came. A body may hold what looks like one: it is then taken for a request
+/// that stands behind, until all has been answered.
+#[derive(Clone, Copy, Default)]
+struct Heads {
+    /// Those of requests that have not been taken yet.
+    ended: u32,
+    /// Bytes of an end that have come so far.
+    matched: u8,
+}
+
+impl Heads {
+    fn after(mut self, bytes: &[u8]) -> Self {
+        for byte in bytes {
+            self.matched = match (self.matched, byte) {
+                (2, b'\r') => 3,
+                (_, b'\r') => 1,
+                (1, b'\n') => 2,
+                (3, b'\n') => {
+                    self.ended += 1;
+                    0
+                }
+                _ => 0,
+            };
+        }
+        self
+    }
+}
+
 /// A client's stream, which notes when its peer is heard and has been told all. It is shared, so that its
 /// end can be waited for beside the parser, which reads no further than it has use for.
 struct Watched {
     stream: Rc<TcpStream>,
     peer: Rc<Peer>,
     driver: Rc<Driver>,
+    /// Waits until the stream may be closed, once its sending has ended.
+    closing: Option<Pin<Box<dyn Future<Output = ()>>>>,
 }
 
 impl AsyncRead for Watched {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         loop {
             ready!(self.stream.poll_read_ready(cx))?;
+            let before = buf.filled().len();
             match self.stream.try_read_buf(buf) {
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
                 done => {
                     if matches!(done, Ok(n) if n > 0) {
-                        self.peer.hear(self.driver.now());
+                        self.peer.hear(&buf.filled()[before..], self.driver.now());
                     }
                     return Poll::Ready(done.map(drop));
                 }
@@ -219,12 +287,26 @@
         Poll::Ready(Ok(()))
     }
 
-    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(match SockRef::from(&*self.stream).shutdown(Shutdown::Write) {
-            // The client has reset it meanwhile.
-            Err(e) if e.kind() == io::ErrorKind::NotConnected => Ok(()),
-            done => done,
-        })
+    /// Ends the sending, and is done when the connection may be closed. What comes meanwhile is not read, so that
+    /// the client may send it again elsewhere.
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let closing = match self.closing.take() {
+            Some(closing) => closing,
+            None => {
+                // Where it fails, the client has reset the connection meanwhile.
+                if SockRef::from(&*self.stream).shutdown(Shutdown::Write).is_err() {
+                    return Poll::Ready(Ok(()));
+                }
+                let (stream, now) = (self.stream.clone(), self.driver.now());
+                let most = self.peer.linger(now);
+                self.peer.enter(Phase::Closing, now);
+                // Of what this interest stands for, a stream that asks for no urgent data brings the close only.
+                let closed = async move { stream.ready(Interest::PRIORITY).await.map(drop) };
+                Box::pin(async move { _ = tokio::time::timeout(most, closed).await })
+            }
+        };
+        let closing = self.closing.insert(closing);
+        closing.as_mut().poll(cx).map(Ok)
     }
 }
 
@@ -391,7 +473,8 @@
                 Ok::<_, Infallible>(answer)
             }
         });
-        let watched = Watched { stream: stream.clone(), peer: peer.clone(), driver: self.driver.clone() };
+        let (driver, closing) = (self.driver.clone(), None);
+        let watched = Watched { stream: stream.clone(), peer: peer.clone(), driver, closing };
         let mut builder = http1::Builder::new();
         builder.max_buf_size(BUFFER);
         let mut connection = pin!(builder.serve_connection(TokioIo::new(watched), service));
@@ -406,7 +489,10 @@
                     if peer.over.get() {
                         return;
                     }
-                    connection.as_mut().graceful_shutdown();
+                    // Something may have come since it was asked to leave.
+                    if peer.may_close() {
+                        connection.as_mut().graceful_shutdown();
+                    }
                 }
             }
         }
@@ -418,8 +504,9 @@
             // What stands behind a request that cannot be used may be anything.
             Err((status, why)) => closing(plain(status, why)),
         };
-        // Where none can give way, a connection that is kept would lock out the clients that wait for one.
-        if self.stopping.get() || self.crowded.get() {
+        // Where none can give way, a connection that is kept would lock out the clients that wait for one. What
+        // stands behind the request is answered first: it would be lost with the connection.
+        if (self.stopping.get() || self.crowded.get()) && peer.last() {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
         response
@@ -431,7 +518,7 @@
         framing(&head.headers)?;
         // Judged before its body is read: nothing is kept for what is turned away.
         if head.uri.path() == "/healthz" {
-            peer.enter(Phase::Busy, self.driver.now());
+            peer.take(self.driver.now());
             let ready = self.driver.is_ready();
             return Ok(if ready {
                 plain(StatusCode::OK, "ok\n")
@@ -443,7 +530,8 @@
         // Dropped at this await, nothing has been taken on yet.
         let body = read_body(body).await?;
         if self.over.get() {
-            return Err((StatusCode::SERVICE_UNAVAILABLE, "ending\n"));
+            peer.take(self.driver.now());
+            return Ok(plain(StatusCode::SERVICE_UNAVAILABLE, "ending\n"));
         }
         if head.method == Method::GET && !body.is_empty() {
             return Err(bad("no body is wanted\n"));
@@ -457,7 +545,7 @@
             return Err((StatusCode::CONFLICT, "a request of this name is open\n"));
         };
         let forward = Forward { method: head.method, uri: head.uri, headers: headers.clone(), body };
-        peer.enter(Phase::Busy, self.driver.now());
+        peer.take(self.driver.now());
         let (id, receiver) = self.driver.arrive(Arrival { request, forward });
         let mut watch = Watch { driver: &self.driver, id, answered: false };
         // Dropped at this await, the watch tells the driver that the client has left. The sender is only lost
@@ -538,6 +626,7 @@
             since: Cell::new(front.driver.now()),
             heard: Cell::new(false),
             ahead: Cell::new(false),
+            heads: Cell::default(),
             leave: Notify::new(),
             over: Cell::new(false),
         });
--- a/tests/ending.rs
+++ b/tests/ending.rs
@@ -6,6 +6,7 @@
 
 use fakes::*;
 use std::collections::HashSet;
+use std::io::Write;
 use std::time::{Duration, Instant};
 
 /// A server that answers those who wait long once a gate is open, and others at once.
@@ -185,3 +186,71 @@
     let rest = lazy.read();
     assert!(rest.is_none_or(|m| m.status() == 200 && m.body.iter().all(|b| *b == b'x')));
 }
+
+/// A request of the class that may run once only, with a name of its own.
+fn named(name: &str) -> String {
+    format!(
+        "POST /once?customer=00000000b4d65521&name={name} HTTP/1.1\r\nHost: x\r\nX-Correlation-Id: {name}\r\n\
+         X-Service-Class: once\r\nX-Plan: team\r\nX-Time-Left: 1.9\r\nX-Quota: units=1,spread=2,first=0\r\n\
+         Content-Length: 2\r\n\r\n{{}}"
+    )
+}
+
+/// Tells the limiter to end, and waits until it knows.
+fn begin_the_end(limiter: &Limiter) {
+    limiter.terminate();
+    eventually("the end begins", || limiter.client().look().header("connection") == Some("close"));
+}
+
+#[test]
+fn requests_that_stand_behind_one_another_when_the_end_begins_are_all_answered() {
+    let gate = Gate::default();
+    let server = gated(&gate);
+    let (setup, _discovery, _counter) = around(&often(&server));
+    let mut limiter = setup.start();
+    let first = named("first").replace("once", "long").replace("Left: 1.9", "Left: 20");
+    // In one write, and with what no read together with the first can take: both wait in the same read, in the
+    // parser and in the socket.
+    let mut client = limiter.client();
+    client.stream.write_all((first + &named("a") + &named("b")).as_bytes()).expect("sent");
+    eventually("the attempt", || server.count() == 1);
+    let more: String = (0..60).map(|i| named(&format!("m{i}"))).collect();
+    client.stream.write_all(more.as_bytes()).expect("sent");
+    begin_the_end(&limiter);
+    gate.open();
+    let answers: Vec<Message> = std::iter::from_fn(|| client.read()).collect();
+    assert_eq!(answers.iter().map(Message::status).collect::<Vec<_>>(), [200; 63]);
+    let (last, before) = answers.split_last().expect("answers");
+    assert_eq!(last.header("connection"), Some("close"));
+    assert!(before.iter().all(|m| m.header("connection").is_none()), "a close was announced too early");
+    assert_eq!(limiter.exit_code(), Some(0));
+}
+
+#[test]
+fn an_answer_arrives_whole_though_more_was_sent_after_its_connection_was_to_close() {
+    let gate = Gate::default();
+    let there = gate.clone();
+    let server = Server::start(move |m| {
+        if m.start.starts_with("POST /long") {
+            there.wait();
+        }
+        Act::Write(answer("200 OK", "", &vec![b'x'; 60_000]))
+    });
+    let (setup, _discovery, _counter) = around(&often(&server));
+    let mut limiter = setup.start();
+    let mut client = limiter.client();
+    socket2::SockRef::from(&client.stream).set_recv_buffer_size(2048).expect("a buffer");
+    client.send("POST", "long", "X-Time-Left: 20\r\n", b"{}");
+    eventually("the attempt", || server.count() == 1);
+    begin_the_end(&limiter);
+    gate.open();
+    // The answer has begun, and tells that the connection closes.
+    assert_eq!(client.stream.peek(&mut [0]).expect("an answer"), 1);
+    client.stream.write_all(named("crossing").as_bytes()).expect("sent");
+    let got = client.read().expect("a whole answer");
+    assert_eq!((got.status(), got.body.len(), got.header("connection")), (200, 60_000, Some("close")));
+    assert!(client.read().is_none());
+    assert_eq!(limiter.exit_code(), Some(0));
+    let seen = server.seen.lock().expect("a lock");
+    assert!(!seen.iter().any(|m| m.start.contains("crossing")), "it was sent on, and could not be answered");
+}
