--- a/tests/resources.rs
+++ b/tests/resources.rs
@@ -9,7 +9,7 @@
 use std::io::Write;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Descriptors that the limiter holds.
 fn descriptors(limiter: &Limiter) -> usize {
@@ -109,3 +109,103 @@
     assert!(counter.connections.load(Ordering::SeqCst) <= 4, "connections to the counter were replaced");
     assert_eq!(limiter.client().look().status(), 200);
 }
+
+/// The smallest limit, on the platform's word and on the process's own.
+const SMALLEST: usize = 256;
+
+/// A limiter at the smallest limit whose discovery is down, and a second agent and counter to move to: the agent
+/// is silent too, and knows `next` only.
+fn at_the_smallest(server: &Server, next: &Server) -> (Limiter, Setup, [Discovery; 2], [Counter; 2]) {
+    let members = |server: &Server| -> Vec<String> {
+        (10..70).map(|i| member(&format!("s-000000{i}"), server.address, "Ready")).collect()
+    };
+    let (mut setup, first, counter) = around(&members(server));
+    setup.sockets = SMALLEST;
+    setup.descriptors = Some(SMALLEST);
+    let limiter = setup.start();
+    eventually("a watch", || first.watching() > 0);
+    eventually("connections to the counter", || counter.connections.load(Ordering::SeqCst) >= 4);
+    let (second, other) = (Discovery::start(list(7, true, &members(next))), Counter::ok());
+    for agent in [&first, &second] {
+        agent.deaf.store(true, Ordering::SeqCst);
+    }
+    first.reset();
+    (setup.discovery, setup.counter) = (second.address, other.address);
+    (limiter, setup, [first, second], [counter, other])
+}
+
+/// Everything that is no client's gets its descriptors: tells the limiter of the other agent and counter, lets
+/// the agent speak, and waits until its list is in force.
+fn move_all(limiter: &Limiter, setup: &Setup, agents: &[Discovery; 2], counters: &[Counter; 2]) {
+    limiter.reload(&setup.config());
+    eventually("a call to the agent that is silent", || agents[1].calls() > 0);
+    eventually("connections to the other counter", || counters[1].connections.load(Ordering::SeqCst) >= 4);
+    let start = Instant::now();
+    agents[1].deaf.store(false, Ordering::SeqCst);
+    eventually("a watch behind the list", || agents[1].watching() > 0);
+    println!(
+        "in force {:.2?} after discovery's return, {} descriptors",
+        start.elapsed(),
+        descriptors(limiter)
+    );
+    assert!(start.elapsed() < Duration::from_secs(6), "in force after {:?}", start.elapsed());
+    let asked = agents[1].asked.lock().expect("a lock").clone();
+    assert!(asked.iter().any(|call| call.contains("since=7")), "{asked:?}");
+}
+
+#[test]
+fn idle_clients_that_fill_the_descriptors_keep_them_from_nobody_else() {
+    let (server, next) = (Server::ok(), Server::ok());
+    let (limiter, setup, agents, counters) = at_the_smallest(&server, &next);
+    // Connected already, half of them after one request; and more that connect meanwhile.
+    let mut idle: Vec<Client> = (0..200).map(|_| limiter.client()).collect();
+    for client in idle.iter_mut().step_by(2) {
+        // One whose place was wanted may have been closed.
+        _ = client.raw(b"GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n");
+    }
+    let (address, more) = (limiter.address, Arc::new(AtomicUsize::new(0)));
+    let there = more.clone();
+    let flood = std::thread::spawn(move || {
+        (0..400).map(|_| (Client::connect(address), there.fetch_add(1, Ordering::SeqCst))).collect::<Vec<_>>()
+    });
+    move_all(&limiter, &setup, &agents, &counters);
+    eventually("more idle clients than descriptors", || more.load(Ordering::SeqCst) > SMALLEST);
+    // A client that asks is still served, and from the list that is in force now.
+    let before = server.count();
+    eventually("an answer", || {
+        let mut client = limiter.client();
+        client.send("GET", "look", "X-Time-Left: 2.0\r\n", b"");
+        client.read().is_some_and(|m| m.status() == 200)
+    });
+    assert_eq!(server.count(), before, "sent to a server that is gone");
+    assert!(next.count() > 0);
+    assert!(descriptors(&limiter) <= SMALLEST);
+    drop((idle, flood.join().expect("the flood")));
+}
+
+#[test]
+fn requests_in_work_on_all_client_connections_keep_no_descriptor_from_anyone_else() {
+    let (gate, next) = (Gate::default(), Server::ok());
+    let there = gate.clone();
+    let server = Server::start(move |_| {
+        there.wait();
+        Act::Write(answer("200 OK", "", b""))
+    });
+    let (limiter, setup, agents, counters) = at_the_smallest(&server, &next);
+    // All stand in the queue before the first is accepted.
+    limiter.signal("-STOP");
+    let mut clients: Vec<Client> = (0..SMALLEST).map(|_| limiter.client()).collect();
+    clients.iter_mut().for_each(|c| c.send("POST", "long", "X-Time-Left: 30\r\n", b"{}"));
+    limiter.signal("-CONT");
+    // What the limiter lets clients have, and for each request a connection to its server.
+    let share = (SMALLEST - 24) / 2;
+    eventually("an attempt for each", || server.count() >= share);
+    assert_eq!(server.count(), share);
+    move_all(&limiter, &setup, &agents, &counters);
+    assert!(descriptors(&limiter) <= SMALLEST);
+    gate.open();
+    for client in &mut clients {
+        assert_eq!(client.read().map(|m| m.status()), Some(200));
+    }
+    assert!(next.count() > 0, "the list is not in force");
+}
