Tell a server the time that is left when its connection has come up

Cause: `X-Time-Left` was reckoned when an attempt was decided on. A dial of 1 s told its server 1 s too much. Change: an attempt knows when it ends, and tells what is left until then as its request is made.

--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -399,10 +399,11 @@
         let Some(address) = state.servers.get(&server).map(|s| s.address) else {
             return self.end(state, id, number, Outcome::ConnectFailed, Vec::new());
         };
-        let job = upstream::Job { id, number, server, address, forward: entry.forward.clone(), span };
+        let (forward, ends) = (entry.forward.clone(), now + span);
+        let job = upstream::Job { id, number, server, address, forward, ends };
         let task = tokio::task::spawn_local(upstream::attempt(self.clone(), job)).abort_handle();
         entry.attempts[attempt].task = Some(task);
-        self.arm(now + span, Due::Attempt(id, number));
+        self.arm(ends, Due::Attempt(id, number));
     }
 
     /// A server may be sent something new.
--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -72,8 +72,8 @@
     pub address: SocketAddr,
     /// What is sent.
     pub forward: Rc<Forward>,
-    /// How long it is waited for, ms.
-    pub span: Millis,
+    /// When it is given up.
+    pub ends: Millis,
 }
 
 /// How an attempt ended on the socket.
@@ -350,7 +350,7 @@
         }
         let (asked, id, server) = (driver.clone(), job.id, job.server);
         connection.turn.begin(Box::new(move || asked.may_begin(id, server).is_ok()));
-        let sent = connection.sender.try_send_request(request(job)).await;
+        let sent = connection.sender.try_send_request(request(job, driver.now())).await;
         connection.turn.end();
         match sent {
             Ok(answer) => return receive(driver, job.server, connection, answer).await,
@@ -365,7 +365,8 @@
     }
 }
 
-fn request(job: &Job) -> hyper::Request<Full<Bytes>> {
+/// What is sent. Its connection may have taken long to come up, so the time that is left is told as of now.
+fn request(job: &Job, now: Millis) -> hyper::Request<Full<Bytes>> {
     let forward = &job.forward;
     let mut request = hyper::Request::new(Full::new(forward.body.clone()));
     *request.method_mut() = forward.method.clone();
@@ -374,7 +375,7 @@
     if let Ok(host) = HeaderValue::try_from(job.address.to_string()) {
         request.headers_mut().insert(HOST, host);
     }
-    if let Ok(left) = HeaderValue::try_from(format!("{:.3}", job.span / 1000.0)) {
+    if let Ok(left) = HeaderValue::try_from(format!("{:.3}", (job.ends - now).max(0.0) / 1000.0)) {
         request.headers_mut().insert(TIME_LEFT, left);
     }
     request
--- a/tests/attempts.rs
+++ b/tests/attempts.rs
@@ -9,7 +9,7 @@
 use std::net::{SocketAddr, TcpListener};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// A server that takes so many bytes of whatever comes, and resets the connection. Its buffers are small, so
 /// that the rest of a long request has not been written by then.
@@ -152,3 +152,22 @@
         assert!(!next.body.windows(9).any(|w| w == b"name=slow"), "another request's answer");
     }
 }
+
+#[test]
+fn an_attempt_tells_the_time_that_is_left_when_its_connection_has_come_up() {
+    let late = Unreachable::new();
+    let (mut setup, _discovery, _counter) = around(&[member("s-00000001", late.address, "Ready")]);
+    setup.connect_timeout = 60_000.0;
+    let limiter = setup.start();
+    let mut client = limiter.client();
+    client.send("POST", "long", "X-Time-Left: 15\r\n", b"{}");
+    // Answered in order, so the request has been taken in and its connection is on its way.
+    assert_eq!(limiter.client().get("/healthz", "").status(), 200);
+    let taken = Instant::now();
+    std::thread::sleep(Duration::from_millis(300));
+    // It comes up after this, however busy the machine.
+    let passed = taken.elapsed().as_secs_f64();
+    let message = late.first_message();
+    let told: f64 = message.header("x-time-left").and_then(|l| l.parse().ok()).expect("a time");
+    assert!(told <= 15.0 - passed, "{told} s after {passed} s");
+}
--- a/tests/fakes/mod.rs
+++ b/tests/fakes/mod.rs
@@ -211,6 +211,16 @@
         Unreachable { socket, address, fill }
     }
 
+    /// Takes one connection of the limiter's and gives its first message.
+    pub fn first_message(self) -> Message {
+        let ours: Vec<_> = self.fill.iter().map(|s| s.local_addr().expect("an address")).collect();
+        let listener: TcpListener = self.socket.into();
+        let (stream, _) = std::iter::repeat_with(|| listener.accept().expect("a connection"))
+            .find(|(_, from)| !ours.contains(from))
+            .expect("a connection of the limiter's");
+        read_message(&mut BufReader::new(stream)).expect("a request")
+    }
+
     /// Takes all connections from now on. Counts the bytes that come on them, and those of the limiter's
     /// that have come up and gone.
     pub fn open(self) -> (Arc<AtomicUsize>, Arc<AtomicUsize>) {
