--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -72,8 +72,8 @@
     pub address: SocketAddr,
     /// What is sent.
     pub forward: Rc<Forward>,
-    /// How long it is waited for, ms.
-    pub span: Millis,
+    /// When it is given up.
+    pub ends: Millis,
 }
 
 /// How an attempt ended on the socket.
@@ -92,13 +92,36 @@
 /// A stream that notes whether anything of the present request has been written. In doubt a request may
 /// have run, so the first byte counts: small messages go out in one piece.
 ///
-/// Before that first byte it makes sure that nothing is left to be read: bytes that belong to no answer (a
-/// second copy, noise) would be taken for the answer to this request. What came before the answer was
-/// taken whole, the parser holds and gives its connection up for; what came later stands in the socket, and
-/// the runtime need not have heard of it yet, so the socket itself is asked.
+/// Before that first byte it asks whether the attempt may still begin: other tasks may have come between.
+///
+/// Then it makes sure that nothing is left to be read: bytes that belong to no answer (a second copy, noise)
+/// would be taken for the answer to this request. What came before the answer was taken whole, the parser
+/// holds and gives its connection up for; what came later stands in the socket, and the runtime need not
+/// have heard of it yet, so the socket itself is asked.
 struct Noted {
     socket: Socket,
-    wrote: Rc<Cell<bool>>,
+    turn: Rc<Turn>,
+}
+
+/// What a connection is told of the attempt that is out on it, and tells of it.
+#[derive(Default)]
+struct Turn {
+    wrote: Cell<bool>,
+    may_begin: RefCell<Option<MayBegin>>,
+}
+
+/// Asks whether the attempt may begin.
+type MayBegin = Box<dyn Fn() -> bool>;
+
+impl Turn {
+    fn begin(&self, may_begin: MayBegin) {
+        self.wrote.set(false);
+        self.may_begin.replace(Some(may_begin));
+    }
+
+    fn end(&self) {
+        self.may_begin.replace(None);
+    }
 }
 
 /// A connection's socket, which whoever ends the connection first closes: its task would come to that only in
@@ -166,9 +189,13 @@
 
 impl Noted {
     fn check(&self) -> Poll<io::Result<()>> {
-        if self.wrote.get() {
+        if self.turn.wrote.get() {
             return Poll::Ready(Ok(()));
         }
+        if self.turn.may_begin.borrow().as_ref().is_some_and(|may| !may()) {
+            let why = "it may not begin any more";
+            return Poll::Ready(Err(io::Error::new(io::ErrorKind::ConnectionAborted, why)));
+        }
         self.socket.with(|stream| {
             Poll::Ready(match SockRef::from(&*stream).peek(&mut [MaybeUninit::uninit()]) {
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => Ok(()),
@@ -183,7 +210,7 @@
 
     fn note(&self, done: &Poll<io::Result<usize>>) {
         if matches!(done, Poll::Ready(Ok(n)) if *n > 0) {
-            self.wrote.set(true);
+            self.turn.wrote.set(true);
         }
     }
 }
@@ -192,7 +219,7 @@
 struct Connection {
     sender: SendRequest<Full<Bytes>>,
     socket: Socket,
-    wrote: Rc<Cell<bool>>,
+    turn: Rc<Turn>,
     task: AbortHandle,
     address: SocketAddr,
     idle_since: Millis,
@@ -291,8 +318,8 @@
         let up = tokio::time::timeout(self.connect_timeout, connecting).await;
         let stream = up.ok().and_then(Result::ok).ok_or(Outcome::ConnectFailed)?;
         stream.set_nodelay(true).map_err(|_| Outcome::ConnectFailed)?;
-        let (socket, wrote) = (Socket::new(stream), Rc::new(Cell::new(false)));
-        let io = TokioIo::new(Noted { socket: socket.clone(), wrote: wrote.clone() });
+        let (socket, turn) = (Socket::new(stream), Rc::new(Turn::default()));
+        let io = TokioIo::new(Noted { socket: socket.clone(), turn: turn.clone() });
         let up = http1::Builder::new().max_buf_size(BUFFER).handshake(io).await;
         let (sender, connection) = up.map_err(|_| Outcome::ConnectFailed)?;
         let task = tokio::task::spawn_local(async move {
@@ -300,7 +327,7 @@
             let _ = connection.await;
         });
         let task = task.abort_handle();
-        Ok(Connection { sender, socket, wrote, task, address, idle_since: 0.0, _slot: slot })
+        Ok(Connection { sender, socket, turn, task, address, idle_since: 0.0, _slot: slot })
     }
 }
 
@@ -336,6 +363,10 @@
 
 async fn run(driver: &Rc<Driver>, job: &Job) -> End {
     loop {
+        // Asked before a connection is taken or made, as one that is given up then is closed.
+        if let Err(outcome) = driver.may_begin(job.id, job.server) {
+            return End::without_answer(outcome);
+        }
         let kept = driver.pool.take(job.server, job.address, driver.now());
         let fresh = kept.is_none();
         let connection = match kept {
@@ -352,22 +383,25 @@
             }
             continue;
         }
-        if !driver.may_begin(job.id, job.server) {
-            // Told of a drain, or left by the client, while the connection came up.
-            return End::without_answer(Outcome::ConnectFailed);
-        }
-        connection.wrote.set(false);
-        match connection.sender.try_send_request(request(job)).await {
+        let (asked, id, server) = (driver.clone(), job.id, job.server);
+        connection.turn.begin(Box::new(move || asked.may_begin(id, server).is_ok()));
+        let sent = connection.sender.try_send_request(request(job, driver.now())).await;
+        connection.turn.end();
+        match sent {
             Ok(answer) => return receive(driver, job.server, connection, answer).await,
-            Err(e) if connection.wrote.get() => return End::without_answer(broken(e.error())),
+            Err(e) if connection.turn.wrote.get() => return End::without_answer(broken(e.error())),
             // A kept connection that had been closed before the first byte: nothing was sent on it.
             Err(_) if !fresh => {}
-            Err(_) => return End::without_answer(Outcome::ConnectFailed),
+            Err(_) => {
+                let outcome = driver.may_begin(job.id, job.server).err();
+                return End::without_answer(outcome.unwrap_or(Outcome::ConnectFailed));
+            }
         }
     }
 }
 
-fn request(job: &Job) -> hyper::Request<Full<Bytes>> {
+/// What is sent. Its connection may have taken long to come up, so the time that is left is told as of now.
+fn request(job: &Job, now: Millis) -> hyper::Request<Full<Bytes>> {
     let forward = &job.forward;
     let mut request = hyper::Request::new(Full::new(forward.body.clone()));
     *request.method_mut() = forward.method.clone();
@@ -376,7 +410,7 @@
     if let Ok(host) = HeaderValue::try_from(job.address.to_string()) {
         request.headers_mut().insert(HOST, host);
     }
-    if let Ok(left) = HeaderValue::try_from(format!("{:.3}", job.span / 1000.0)) {
+    if let Ok(left) = HeaderValue::try_from(format!("{:.3}", (job.ends - now).max(0.0) / 1000.0)) {
         request.headers_mut().insert(TIME_LEFT, left);
     }
     request
--- a/tests/fakes/mod.rs
+++ b/tests/fakes/mod.rs
@@ -211,6 +211,16 @@
         Unreachable { socket, address, fill }
     }
 
+    /// Takes one connection of the limiter's and gives its first message.
+    pub fn first_message(self) -> Message {
+        let ours: Vec<_> = self.fill.iter().map(|s| s.local_addr().expect("an address")).collect();
+        let listener: TcpListener = self.socket.into();
+        let (stream, _) = std::iter::repeat_with(|| listener.accept().expect("a connection"))
+            .find(|(_, from)| !ours.contains(from))
+            .expect("a connection of the limiter's");
+        read_message(&mut BufReader::new(stream)).expect("a request")
+    }
+
     /// Takes all connections from now on. Counts the bytes that come on them, and those of the limiter's
     /// that have come up and gone.
     pub fn open(self) -> (Arc<AtomicUsize>, Arc<AtomicUsize>) {
@@ -417,6 +427,7 @@
     pub counter: SocketAddr,
     pub known: String,
     pub sockets: usize,
+    pub memory_mb: f64,
     /// The shell's limit on descriptors.
     pub descriptors: Option<usize>,
     pub conn_idle: f64,
@@ -440,6 +451,7 @@
             counter,
             known: known.into(),
             sockets: 1024,
+            memory_mb: 192.0,
             descriptors: None,
             conn_idle: 15_000.0,
             connect_timeout: 250.0,
@@ -471,7 +483,7 @@
             class("long", "single_shot", 20_000, 30_000),
         ];
         format!(
-            r#"{{"name":"n0","listen":"{}","discovery":"{}","counter":"{}","seed":"8c1f30d27a5be964","limits":{{"sockets":{}}},"known":{},
+            r#"{{"name":"n0","listen":"{}","discovery":"{}","counter":"{}","seed":"8c1f30d27a5be964","limits":{{"sockets":{},"memory_mb":{}}},"known":{},
             "settings":{{"balancers":{},"areas":["a","b"],"zone":0,"discovery":"pushed","classes":[{}],"plans":[{}],
             "report":{{"source":"answers","columns":["queue"]}},
             "ceilings":{{"conn_idle":{},"connect_timeout":{},"max_attempts":4,"cancelling":{},"parallel_tries":true,"retry_after":true,"max_retry_after":1000}},
@@ -481,6 +493,7 @@
             self.discovery,
             self.counter,
             self.sockets,
+            self.memory_mb,
             self.known,
             self.gateways,
             classes.join(","),
