--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -137,6 +137,8 @@
 
     /// Nothing stands in the socket that has not been read yet: a busy machine may not have come to it.
     fn all_read(&self) -> bool {
+        #[cfg(test)]
+        tests::PEEKS.set(tests::PEEKS.get() + 1);
         let peeked = SockRef::from(&*self.stream).peek(&mut [MaybeUninit::uninit()]);
         !matches!(peeked, Ok(1..))
     }
--- a/tests/unit/front.rs
+++ b/tests/unit/front.rs
@@ -2,6 +2,11 @@
 
 use super::*;
 
+thread_local! {
+    /// How often the kernel was asked whether something stands unread.
+    pub(super) static PEEKS: Cell<usize> = const { Cell::new(0) };
+}
+
 #[test]
 fn quotas_and_customers_are_read_strictly() {
     let read = |text| quota(text, 4.0, 5.0);
@@ -126,3 +131,25 @@
         assert_eq!(answered(&client).await, "closed");
     });
 }
+
+#[test]
+fn making_room_asks_the_kernel_about_few_connections_however_many_there_are() {
+    use std::io::Write as _;
+    const MANY: usize = 100;
+    with_front(MANY, |front| async move {
+        let mut clients = Vec::new();
+        for _ in 0..MANY {
+            clients.push(accepted(&front).await);
+        }
+        let eldest = front.driver.now() - 10.0 * FIRST_WORDS;
+        let peers = || front.peers.borrow().iter().map(|(n, p)| (*n, p.clone())).collect::<HashMap<_, _>>();
+        peers().iter().for_each(|(n, p)| p.since.set(eldest + *n as f64));
+        // The eldest has bytes that the runtime has not heard of: it stays, and the next gives way.
+        clients[0].write_all(b"G").expect("sent");
+        PEEKS.set(0);
+        assert!(front.make_room());
+        assert_eq!(PEEKS.get(), 2);
+        let given: Vec<u64> = peers().iter().filter(|(_, p)| p.over.get()).map(|(n, _)| *n).collect();
+        assert_eq!(given, [2]);
+    });
+}
