--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -23,10 +23,10 @@
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::task::{ready, Context, Poll};
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::task::AbortHandle;
 
 /// Longest body taken from a server.
@@ -72,8 +72,8 @@
     pub address: SocketAddr,
     /// What is sent.
     pub forward: Rc<Forward>,
-    /// How long it is waited for, ms.
-    pub span: Millis,
+    /// When it is given up.
+    pub ends: Millis,
 }
 
 /// How an attempt ended on the socket.
@@ -92,74 +92,125 @@
 /// A stream that notes whether anything of the present request has been written. In doubt a request may
 /// have run, so the first byte counts: small messages go out in one piece.
 ///
-/// Before that first byte it makes sure that nothing is left to be read: bytes that belong to no answer (a
-/// second copy, noise) would be taken for the answer to this request. What came before the answer was
-/// taken whole, the parser holds and gives its connection up for; what came later stands in the socket, and
-/// the runtime need not have heard of it yet, so the socket itself is asked.
+/// Before that first byte it asks whether the attempt may still begin: other tasks may have come between.
+///
+/// Then it makes sure that nothing is left to be read: bytes that belong to no answer (a second copy, noise)
+/// would be taken for the answer to this request. What came before the answer was taken whole, the parser
+/// holds and gives its connection up for; what came later stands in the socket, and the runtime need not
+/// have heard of it yet, so the socket itself is asked.
 struct Noted {
-    stream: TcpStream,
-    wrote: Rc<Cell<bool>>,
+    socket: Socket,
+    turn: Rc<Turn>,
+}
+
+/// What a connection is told of the attempt that is out on it, and tells of it.
+#[derive(Default)]
+struct Turn {
+    wrote: Cell<bool>,
+    may_begin: RefCell<Option<MayBegin>>,
+}
+
+/// Asks whether the attempt may begin.
+type MayBegin = Box<dyn Fn() -> bool>;
+
+impl Turn {
+    fn begin(&self, may_begin: MayBegin) {
+        self.wrote.set(false);
+        self.may_begin.replace(Some(may_begin));
+    }
+
+    fn end(&self) {
+        self.may_begin.replace(None);
+    }
+}
+
+/// A connection's socket, which whoever ends the connection first closes: its task would come to that only in
+/// its next turn, and until then a descriptor would be open that is not counted.
+#[derive(Clone)]
+struct Socket(Rc<RefCell<Option<TcpStream>>>);
+
+impl Socket {
+    fn new(stream: TcpStream) -> Self {
+        Socket(Rc::new(RefCell::new(Some(stream))))
+    }
+
+    fn with<T>(&self, act: impl FnOnce(&mut TcpStream) -> Poll<io::Result<T>>) -> Poll<io::Result<T>> {
+        self.0.borrow_mut().as_mut().map_or_else(|| Poll::Ready(Err(io::ErrorKind::NotConnected.into())), act)
+    }
+
+    fn close(&self) {
+        drop(self.0.take());
+    }
+}
+
+impl Drop for Noted {
+    fn drop(&mut self) {
+        self.socket.close();
+    }
 }
 
 impl AsyncRead for Noted {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(cx, buf)
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        self.socket.with(|stream| Pin::new(stream).poll_read(cx, buf))
     }
 }
 
 impl AsyncWrite for Noted {
-    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        self.check()?;
-        let done = Pin::new(&mut self.stream).poll_write(cx, buf);
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        ready!(self.check())?;
+        let done = self.socket.with(|stream| Pin::new(stream).poll_write(cx, buf));
         self.note(&done);
         done
     }
 
     fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        self.check()?;
-        let done = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        ready!(self.check())?;
+        let done = self.socket.with(|stream| Pin::new(stream).poll_write_vectored(cx, bufs));
         self.note(&done);
         done
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
+        true
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.socket.with(|stream| Pin::new(stream).poll_flush(cx))
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.socket.with(|stream| Pin::new(stream).poll_shutdown(cx))
     }
 }
 
 impl Noted {
-    fn check(&self) -> io::Result<()> {
-        if self.wrote.get() {
-            return Ok(());
+    fn check(&self) -> Poll<io::Result<()>> {
+        if self.turn.wrote.get() {
+            return Poll::Ready(Ok(()));
         }
-        match SockRef::from(&self.stream).peek(&mut [MaybeUninit::uninit()]) {
-            Err(e) if e.kind() == io::ErrorKind::WouldBlock => Ok(()),
-            Err(e) => Err(e),
-            Ok(_) => {
-                Err(io::Error::new(io::ErrorKind::InvalidData, "closed, or bytes that no request asked for"))
-            }
+        if self.turn.may_begin.borrow().as_ref().is_some_and(|may| !may()) {
+            let why = "it may not begin any more";
+            return Poll::Ready(Err(io::Error::new(io::ErrorKind::ConnectionAborted, why)));
         }
+        self.socket.with(|stream| {
+            Poll::Ready(match SockRef::from(&*stream).peek(&mut [MaybeUninit::uninit()]) {
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => Ok(()),
+                Err(e) => Err(e),
+                Ok(_) => {
+                    let why = "closed, or bytes that no request asked for";
+                    Err(io::Error::new(io::ErrorKind::InvalidData, why))
+                }
+            })
+        })
     }
 
     fn note(&self, done: &Poll<io::Result<usize>>) {
         if matches!(done, Poll::Ready(Ok(n)) if *n > 0) {
-            self.wrote.set(true);
+            self.turn.wrote.set(true);
         }
     }
 }
@@ -167,7 +218,8 @@
 /// A connection to a server. Dropped, it closes at once, whatever is out on it.
 struct Connection {
     sender: SendRequest<Full<Bytes>>,
-    wrote: Rc<Cell<bool>>,
+    socket: Socket,
+    turn: Rc<Turn>,
     task: AbortHandle,
     address: SocketAddr,
     idle_since: Millis,
@@ -178,6 +230,7 @@
 impl Drop for Connection {
     fn drop(&mut self) {
         self.task.abort();
+        self.socket.close();
     }
 }
 
@@ -255,19 +308,26 @@
         Some(Slot(self.open.clone()))
     }
 
-    async fn connect(&self, address: SocketAddr) -> Option<Connection> {
-        let slot = self.slot()?;
-        let up = tokio::time::timeout(self.connect_timeout, TcpStream::connect(address)).await;
-        let stream = up.ok()?.ok()?;
-        stream.set_nodelay(true).ok()?;
-        let wrote = Rc::new(Cell::new(false));
-        let io = TokioIo::new(Noted { stream, wrote: wrote.clone() });
-        let (sender, connection) = http1::Builder::new().max_buf_size(BUFFER).handshake(io).await.ok()?;
+    /// A new connection, or how the attempt for which it was wanted has ended. Dropped at an `.await`, it frees
+    /// its place after its socket.
+    async fn connect(&self, address: SocketAddr) -> Result<Connection, Outcome> {
+        // What is lacking here is no fault of the server's.
+        let slot = self.slot().ok_or(Outcome::Moot)?;
+        let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() };
+        let connecting = socket.map_err(|_| Outcome::Moot)?.connect(address);
+        let up = tokio::time::timeout(self.connect_timeout, connecting).await;
+        let stream = up.ok().and_then(Result::ok).ok_or(Outcome::ConnectFailed)?;
+        stream.set_nodelay(true).map_err(|_| Outcome::ConnectFailed)?;
+        let (socket, turn) = (Socket::new(stream), Rc::new(Turn::default()));
+        let io = TokioIo::new(Noted { socket: socket.clone(), turn: turn.clone() });
+        let up = http1::Builder::new().max_buf_size(BUFFER).handshake(io).await;
+        let (sender, connection) = up.map_err(|_| Outcome::ConnectFailed)?;
         let task = tokio::task::spawn_local(async move {
             // How it ends is seen by the attempt that is out on it.
             let _ = connection.await;
         });
-        Some(Connection { sender, wrote, task: task.abort_handle(), address, idle_since: 0.0, _slot: slot })
+        let task = task.abort_handle();
+        Ok(Connection { sender, socket, turn, task, address, idle_since: 0.0, _slot: slot })
     }
 }
 
@@ -303,14 +363,19 @@
 
 async fn run(driver: &Rc<Driver>, job: &Job) -> End {
     loop {
+        // Asked before a connection is taken or made, as one that is given up then is closed.
+        if let Err(outcome) = driver.may_begin(job.id, job.server) {
+            return End::without_answer(outcome);
+        }
         let kept = driver.pool.take(job.server, job.address, driver.now());
         let fresh = kept.is_none();
         let connection = match kept {
-            Some(connection) => Some(connection),
+            Some(connection) => Ok(connection),
             None => driver.pool.connect(job.address).await,
         };
-        let Some(mut connection) = connection else {
-            return End::without_answer(Outcome::ConnectFailed);
+        let mut connection = match connection {
+            Ok(connection) => connection,
+            Err(outcome) => return End::without_answer(outcome),
         };
         if connection.sender.ready().await.is_err() {
             if fresh {
@@ -318,22 +383,25 @@
             }
             continue;
         }
-        if !driver.may_begin(job.id, job.server) {
-            // Told of a drain, or left by the client, while the connection came up.
-            return End::without_answer(Outcome::ConnectFailed);
-        }
-        connection.wrote.set(false);
-        match connection.sender.try_send_request(request(job)).await {
+        let (asked, id, server) = (driver.clone(), job.id, job.server);
+        connection.turn.begin(Box::new(move || asked.may_begin(id, server).is_ok()));
+        let sent = connection.sender.try_send_request(request(job, driver.now())).await;
+        connection.turn.end();
+        match sent {
             Ok(answer) => return receive(driver, job.server, connection, answer).await,
-            Err(e) if connection.wrote.get() => return End::without_answer(broken(e.error())),
+            Err(e) if connection.turn.wrote.get() => return End::without_answer(broken(e.error())),
             // A kept connection that had been closed before the first byte: nothing was sent on it.
             Err(_) if !fresh => {}
-            Err(_) => return End::without_answer(Outcome::ConnectFailed),
+            Err(_) => {
+                let outcome = driver.may_begin(job.id, job.server).err();
+                return End::without_answer(outcome.unwrap_or(Outcome::ConnectFailed));
+            }
         }
     }
 }
 
-fn request(job: &Job) -> hyper::Request<Full<Bytes>> {
+/// What is sent. Its connection may have taken long to come up, so the time that is left is told as of now.
+fn request(job: &Job, now: Millis) -> hyper::Request<Full<Bytes>> {
     let forward = &job.forward;
     let mut request = hyper::Request::new(Full::new(forward.body.clone()));
     *request.method_mut() = forward.method.clone();
@@ -342,7 +410,7 @@
     if let Ok(host) = HeaderValue::try_from(job.address.to_string()) {
         request.headers_mut().insert(HOST, host);
     }
-    if let Ok(left) = HeaderValue::try_from(format!("{:.3}", job.span / 1000.0)) {
+    if let Ok(left) = HeaderValue::try_from(format!("{:.3}", (job.ends - now).max(0.0) / 1000.0)) {
         request.headers_mut().insert(TIME_LEFT, left);
     }
     request
