--- a/scale/src/process.rs
+++ b/scale/src/process.rs
@@ -18,6 +18,8 @@
 pub const SERVERS: [usize; 4] = [20, 200, 1_000, 5_700];
 const CONNECTIONS: [usize; 4] = [0, 100, 500, 1_000];
 const RATES: [usize; 4] = [50, 100, 200, 300];
+/// Limiters by the settings where latency is measured.
+const LIMITERS: usize = 530;
 /// Bytes of a piece: a TCP segment's.
 const PIECE: usize = 1400;
 /// How long a limiter may take to say that it can serve.
@@ -54,23 +56,23 @@
 }
 
 impl Limiter {
-    fn config(agent: SocketAddr, counter: SocketAddr) -> String {
+    fn config(agent: SocketAddr, counter: SocketAddr, limiters: usize) -> String {
         format!(
             r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{agent}","counter":"{counter}","seed":"8c1f30d27a5be964","limits":{{"sockets":16384,"memory_mb":4096}},
-            "settings":{{"balancers":1,"areas":["zone-0","zone-1","zone-2","zone-3","zone-4","zone-5"],"zone":0,"discovery":"pushed",
+            "settings":{{"balancers":{limiters},"areas":["zone-0","zone-1","zone-2","zone-3","zone-4","zone-5"],"zone":0,"discovery":"pushed",
             "classes":[{{"name":"look","deadline":9000,"goal_time":8000,"importance":2,"idempotency":"free"}}],
-            "plans":[{{"name":"team","rate":100000,"store_size":100000}}],
+            "plans":[{{"name":"large","rate":100000,"store_size":100000}},{{"name":"small","rate":100,"store_size":200}}],
             "ceilings":{{"conn_idle":60000,"connect_timeout":1000,"max_attempts":3,"cancelling":true,"retry_after":true,"max_retry_after":1000}},
             "family_info":{{"shared_counter":true,"counter_timeout":50,"max_units":2}},
             "safety":{{"start_capacity":0.2,"warm_after":16000,"overload_factor":2,"tip_after":2000}}}}}}"#
         )
     }
 
-    fn start(program: &Path, agent: SocketAddr) -> Result<Limiter, Failure> {
+    fn start(program: &Path, agent: SocketAddr, limiters: usize) -> Result<Limiter, Failure> {
         let name = format!("scale-{}-{}.json", std::process::id(), NEXT.fetch_add(1, Ordering::SeqCst));
         let path = std::env::temp_dir().join(name);
         let counter = counter()?;
-        std::fs::write(&path, Limiter::config(agent, counter))?;
+        std::fs::write(&path, Limiter::config(agent, counter, limiters))?;
         let started = Instant::now();
         let mut child = Command::new(program).env("PROXY_CONFIG", &path).stderr(Stdio::piped()).spawn()?;
         let mut log = BufReader::new(child.stderr.take().ok_or("no log")?).lines();
@@ -152,7 +154,7 @@
                 };
                 add("bytes", "bytes", text.len() as f64);
                 let agent = Agent::start(text, piece)?;
-                let limiter = Limiter::start(program, agent.address)?;
+                let limiter = Limiter::start(program, agent.address, 1)?;
                 let ready = limiter.ready()?;
                 let took = limiter.started.elapsed().as_secs_f64() * 1000.0;
                 add("ready", "of starts", f64::from(u8::from(ready)));
@@ -204,7 +206,7 @@
         for many in CONNECTIONS {
             let server = Server::start()?;
             let agent = Agent::start(list(1_000, server.address, false)?, 0)?;
-            let limiter = Limiter::start(program, agent.address)?;
+            let limiter = Limiter::start(program, agent.address, 1)?;
             if !limiter.ready()? {
                 return Err("never ready".into());
             }
@@ -218,7 +220,7 @@
             add("resident, so many clients that rest", limiter.resident());
             server.held.store(true, Ordering::SeqCst);
             for (n, client) in clients.iter_mut().enumerate() {
-                client.send(n, n)?;
+                client.send(n, n, "large", 1)?;
             }
             let out = within(Duration::from_secs(8), || server.requests.load(Ordering::SeqCst) >= many);
             add("resident, each with a request out at a server", limiter.resident());
@@ -246,42 +248,47 @@
     let mut report = Report::default();
     let server = Server::start()?;
     let agent = Agent::start(list(servers, server.address, false)?, 0)?;
-    let limiter = Limiter::start(program, agent.address)?;
+    let limiter = Limiter::start(program, agent.address, LIMITERS)?;
     if !limiter.ready()? {
         return Err("never ready".into());
     }
-    for _ in 0..repeats {
-        for rate in RATES {
-            let mut to: Vec<(Client, Histogram<u64>)> = Vec::new();
-            for address in [server.address, limiter.address] {
-                to.push((Client::connect(address)?, Histogram::new_with_bounds(1, 60_000_000, 3)?));
-            }
-            let before = limiter.spent();
-            let since = Instant::now();
-            let many = (rate as f64 * seconds) as usize;
-            for n in 0..many {
-                let at = since + Duration::from_secs_f64(n as f64 / rate as f64);
-                std::thread::sleep(at.saturating_duration_since(Instant::now()));
-                for (client, times) in &mut to {
-                    let begun = Instant::now();
-                    client.send(n, n % 1000)?;
-                    client.read()?;
-                    times.record(begun.elapsed().as_nanos() as u64 / 1000)?;
-                }
-            }
-            let mut add = |what: &str, unit, value| {
-                report.sample(what, "requests a second", unit, rate as f64, value);
-            };
-            let spent = limiter.spent() - before;
-            add("processor time, whole process", "ms a second", spent / since.elapsed().as_secs_f64());
-            for share in [0.5, 0.99] {
-                let at = |i: usize| to[i].1.value_at_quantile(share) as f64 / 1000.0;
-                let name = if share < 0.9 { "half" } else { "99 in 100" };
-                add(&format!("direct, {name} within"), "ms", at(0));
-                add(&format!("through the limiter, {name} within"), "ms", at(1));
-                add(&format!("added, {name}"), "ms", at(1) - at(0));
+    // Of a small customer each request waits for a call to the counter; a large one's calls are made beside.
+    for (plan, rate) in (0..repeats).flat_map(|_| ["large", "small"]).flat_map(|p| RATES.map(|r| (p, r))) {
+        let mut to: Vec<(Client, Histogram<u64>)> = Vec::new();
+        for address in [server.address, limiter.address] {
+            to.push((Client::connect(address)?, Histogram::new_with_bounds(1, 60_000_000, 3)?));
+        }
+        let before = limiter.spent();
+        let since = Instant::now();
+        let many = (rate as f64 * seconds) as usize;
+        for n in 0..many {
+            let at = since + Duration::from_secs_f64(n as f64 / rate as f64);
+            std::thread::sleep(at.saturating_duration_since(Instant::now()));
+            for (client, times) in &mut to {
+                let begun = Instant::now();
+                client.send(n, n % 1000, plan, if plan == "small" { LIMITERS } else { 1 })?;
+                client.read()?;
+                times.record(begun.elapsed().as_nanos() as u64 / 1000)?;
             }
         }
+        let mut add = |what: &str, unit, value| {
+            report.sample(
+                &format!("{plan} customers: {what}"),
+                "requests a second",
+                unit,
+                rate as f64,
+                value,
+            );
+        };
+        let spent = limiter.spent() - before;
+        add("processor time, whole process", "ms a second", spent / since.elapsed().as_secs_f64());
+        for share in [0.5, 0.99] {
+            let at = |i: usize| to[i].1.value_at_quantile(share) as f64 / 1000.0;
+            let name = if share < 0.9 { "half" } else { "99 in 100" };
+            add(&format!("direct, {name} within"), "ms", at(0));
+            add(&format!("through the limiter, {name} within"), "ms", at(1));
+            add(&format!("added, {name}"), "ms", at(1) - at(0));
+        }
     }
     Ok(report)
 }
@@ -297,21 +304,21 @@
             let (old, new) = (Server::start()?, Server::start()?);
             let agent = Agent::start(list(servers, old.address, false)?, 0)?;
             let other = Agent::start(list(servers, new.address, false)?, 0)?;
-            let limiter = Limiter::start(program, agent.address)?;
+            let limiter = Limiter::start(program, agent.address, 1)?;
             if !limiter.ready()? {
                 return Err("never ready".into());
             }
             let mut client = Client::connect(limiter.address)?;
-            client.send(0, 1)?;
+            client.send(0, 1, "large", 1)?;
             client.read()?;
-            std::fs::write(&limiter.path, Limiter::config(other.address, limiter.counter))?;
+            std::fs::write(&limiter.path, Limiter::config(other.address, limiter.counter, 1))?;
             let (before, since) = (limiter.spent(), Instant::now());
             let pid = limiter.child.id().to_string();
             Command::new("kill").args(["-HUP", &pid]).status()?;
             let mut asked = 0;
             while new.requests.load(Ordering::SeqCst) == 0 && since.elapsed() < READY {
                 asked += 1;
-                client.send(asked, 1)?;
+                client.send(asked, 1, "large", 1)?;
                 client.read()?;
                 std::thread::sleep(Duration::from_millis(1));
             }
--- a/scale/src/standins.rs
+++ b/scale/src/standins.rs
@@ -180,13 +180,13 @@
         Ok(Client(BufReader::new(stream)))
     }
 
-    /// Writes a request of the safe class.
+    /// Writes a request of the safe class, of a customer that comes in through so many limiters.
     ///
     /// # Errors
     /// When the connection is gone.
-    pub fn send(&mut self, id: usize, customer: usize) -> std::io::Result<()> {
+    pub fn send(&mut self, id: usize, customer: usize, plan: &str, spread: usize) -> std::io::Result<()> {
         let text = format!(
-            "GET /look?customer={customer:016x} HTTP/1.1\r\nHost: x\r\nX-Correlation-Id: {id:016x}\r\nX-Service-Class: look\r\nX-Plan: team\r\nX-Time-Left: 9.0\r\nX-Quota: units=1,spread=530,first=0\r\nContent-Length: 0\r\n\r\n"
+            "GET /look?customer={customer:016x} HTTP/1.1\r\nHost: x\r\nX-Correlation-Id: {id:016x}\r\nX-Service-Class: look\r\nX-Plan: {plan}\r\nX-Time-Left: 9.0\r\nX-Quota: units=1,spread={spread},first=0\r\nContent-Length: 0\r\n\r\n"
         );
         self.0.get_mut().write_all(text.as_bytes())
     }
--- a/scale/tests/shape.rs
+++ b/scale/tests/shape.rs
@@ -1,19 +1,32 @@
-//! Work that is counted and must not grow with the fleet: calls made and their bytes, actions asked for. No time
-//! is measured here; `scale module` does that.
+//! Work that is counted and must not grow with the fleet: calls made and their bytes, attempts, memory taken from
+//! the allocator. No time is measured here; `scale module` does that.
 
+use stats_alloc::{Region, StatsAlloc, INSTRUMENTED_SYSTEM};
+use std::alloc::System;
+use std::sync::Mutex;
 use topazwind_scale::deployment::Deployment;
 use topazwind_scale::module::{Bench, Costs};
 
+#[global_allocator]
+static ALLOCATOR: &StatsAlloc<System> = &INSTRUMENTED_SYSTEM;
+/// The allocator counts for the whole process: one test at a time.
+static ALONE: Mutex<()> = Mutex::new(());
+
 /// Traffic of one limiter among so many, before as many servers as the plan has for them.
 fn costs(gateways: usize, servers: usize) -> Costs {
+    bench(gateways, servers).play(2.0)
+}
+
+fn bench(gateways: usize, servers: usize) -> Bench {
     let plan = Deployment::default();
     let (rate, spread) = (plan.share() * gateways as f64, plan.gateways);
     let deployment = Deployment { gateways, servers, rate, spread, customers: 1000, ..plan };
-    Bench::new(&deployment, 1).play(2.0)
+    Bench::new(&deployment, 1)
 }
 
 #[test]
 fn calls_and_their_bytes_do_not_grow_with_the_fleet() {
+    let _alone = ALONE.lock();
     let (small, large) = (costs(19, 200), costs(190, 2_000));
     let calls = |c: &Costs| c.calls as f64 / c.request.events as f64;
     let bytes = |c: &Costs| c.bytes as f64 / c.calls as f64;
@@ -29,7 +42,26 @@
 
 #[test]
 fn attempts_do_not_grow_with_the_fleet() {
+    let _alone = ALONE.lock();
     let attempts = |c: &Costs| c.attempts as f64 / c.request.events as f64;
     let (small, large) = (costs(19, 200), costs(190, 2_000));
     assert!(attempts(&large) < 1.1 * attempts(&small), "{} and {}", attempts(&large), attempts(&small));
 }
+
+#[test]
+fn memory_taken_for_a_request_does_not_grow_with_the_fleet() {
+    let _alone = ALONE.lock();
+    // A copy of the list, or of a part of it that grows, shows here.
+    let taken = |gateways, servers| {
+        let mut bench = bench(gateways, servers);
+        bench.play(1.0);
+        let region = Region::new(ALLOCATOR);
+        let costs = bench.play(2.0);
+        region.change().bytes_allocated as f64 / costs.request.events as f64
+    };
+    let (small, large) = (taken(19, 200), taken(190, 2_000));
+    println!(
+        "bytes taken from the allocator for a request: {small:.0} with 200 servers, {large:.0} with 2,000"
+    );
+    assert!(large < 1.25 * small, "{large} bytes a request, {small} before");
+}
