--- a/tests/unit/front.rs
+++ b/tests/unit/front.rs
@@ -40,3 +40,89 @@
         assert_eq!(customer(bad), None, "{bad}");
     }
 }
+
+/// A client's connection that the front has accepted and spawned.
+async fn accepted(front: &Rc<Front>) -> std::net::TcpStream {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let client = std::net::TcpStream::connect(listener.local_addr().expect("an address")).expect("up");
+    client.set_read_timeout(Some(Duration::from_secs(10))).expect("a time-out");
+    let (stream, _) = listener.accept().await.expect("a connection");
+    tokio::task::spawn_local(front.clone().serve(Listed::new(front.clone(), stream)));
+    client
+}
+
+/// Polls the tasks until the client can read, and gives the first line it reads.
+async fn answered(client: &std::net::TcpStream) -> String {
+    let mut bytes = [0; 512];
+    while client.set_nonblocking(true).and_then(|()| client.peek(&mut bytes)).is_err() {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+    client.set_nonblocking(false).expect("a blocking socket");
+    let n = std::io::Read::read(&mut &*client, &mut bytes).unwrap_or(0);
+    String::from_utf8_lossy(&bytes[..n]).lines().next().unwrap_or("closed").to_owned()
+}
+
+/// Runs a front for so many connections that knows no servers.
+fn with_front<F: Future<Output = ()>>(most: usize, act: impl FnOnce(Rc<Front>) -> F) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    let text = r#"{"name":"n0","listen":"127.0.0.1:0","discovery":"127.0.0.1:1",
+        "settings":{"classes":[{"name":"x","deadline":1000,"idempotency":"free"}]}}"#;
+    let config = crate::net::config::Config::parse(text).expect("a configuration");
+    let local = tokio::task::LocalSet::new();
+    local.block_on(&runtime, async { act(Front::new(Driver::new(&config, 8), most)).await });
+}
+
+#[test]
+fn a_close_waits_for_its_client_within_bounds_and_less_where_the_place_is_wanted() {
+    use std::io::Write as _;
+    with_front(1, |front| async move {
+        for wanted in [true, false] {
+            let mut client = accepted(&front).await;
+            // More than is read of what cannot be used.
+            client.write_all(&[b"nonsense\r\n\r\n".as_slice(), &[b'x'; 20_000]].concat()).expect("sent");
+            assert!(answered(&client).await.starts_with("HTTP/1.1 400"));
+            assert_eq!(front.open(), 1, "closed over unread bytes before the answer had time to arrive");
+            if wanted {
+                let since = |at| front.peers.borrow().values().for_each(|p| p.since.set(at));
+                since(front.driver.now() + 1000.0);
+                assert!(!front.make_room(), "its answer may not have arrived");
+                since(front.driver.now() - FIRST_WORDS - 1.0);
+                assert!(front.make_room());
+                // No timer runs here.
+                for _ in 0..10 {
+                    tokio::task::yield_now().await;
+                }
+            } else {
+                let closed = async {
+                    while front.open() > 0 {
+                        tokio::time::sleep(Duration::from_millis(5)).await;
+                    }
+                };
+                tokio::time::timeout(Duration::from_secs(20), closed).await.expect("a close");
+            }
+            assert_eq!(front.open(), 0);
+        }
+    });
+}
+
+#[test]
+fn a_request_that_comes_after_its_connection_was_asked_to_leave_is_answered() {
+    use std::io::Write as _;
+    with_front(8, |front| async move {
+        let mut client = accepted(&front).await;
+        for _ in 0..2 {
+            client.write_all(b"GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n").expect("sent");
+            assert!(answered(&client).await.starts_with("HTTP/1.1 503"), "it knows no servers");
+            assert_eq!(front.open(), 1);
+            // No await before the next request is sent: the close has been decided, and the runtime has not heard
+            // of the bytes.
+            front.close_idle();
+        }
+        client.write_all(b"GET /healthz HT").expect("half a request");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        client.write_all(b"TP/1.1\r\nHost: x\r\n\r\n").expect("the rest");
+        assert!(answered(&client).await.starts_with("HTTP/1.1 503"));
+        front.close_idle();
+        assert_eq!(answered(&client).await, "closed");
+    });
+}
