Send cold servers their part by a lottery in place of saved tokens

Cause: each limiter had its own token for each cold server, at a floor of one request in 2 s, and cost / warmth kept nearly all from using it.

Now each request draws one of all servers. A cold one that is drawn keeps the request by the share of its capacity that it surely has, by its size in the list, and by at most half of the settings' overload factor. Nothing is saved up, and the sum does not depend on the number of limiters or on how little each sends. The draw belongs to the request: one that is held does not draw again. Further attempts go to warm servers only.

--- a/src/logic/choice.rs
+++ b/src/logic/choice.rs
@@ -42,7 +42,7 @@
             if known.heard == 0.0 || known.entry.started != started {
                 // A new process: what was known of the old one is void, but its attempts still end.
                 let (out, mean) = (known.out, fleet);
-                *known = Server { out, mean, heard: now, tokens_at: started, ..Server::default() };
+                *known = Server { out, mean, heard: now, ..Server::default() };
             }
             known.entry = entry;
         }
@@ -50,6 +50,9 @@
         let salt = self.salt;
         self.ranked
             .sort_by_key(|s| (u64::from(s.0) ^ salt).wrapping_mul(0x9e37_79b9_7f4a_7c15).rotate_left(29));
+        let sizes = self.servers.values().map(|s| s.entry.weight).filter(|w| *w > 0.0);
+        let (sum, count) = sizes.fold((0.0, 0.0), |(sum, count), w| (sum + w, count + 1.0));
+        self.flow.size = sum / f64::max(count, 1.0);
         if self.flow.limit <= 0.0 {
             self.flow.limit = START_LIMIT * self.servers.len() as f64 / self.set.gateways.max(1.0);
         }
@@ -57,10 +60,11 @@
 
     /// The cheapest server a request may go to: mean answer time times what is out there already.
     pub(super) fn choose(&mut self, now: Millis, open: &Open) -> Option<ServerId> {
+        if let Some(cold) = self.cold_pick(now, open) {
+            return Some(cold);
+        }
         let ran = open.attempts.iter().find(|a| a.may_have_run).copied();
         let bound = ran.and_then(|a| self.servers.get(&a.server)).map(|s| (s.entry.zone, s.entry.cell));
-        let warm = self.servers.values().filter(|s| self.warmth(now, s) >= 1.0).count().max(1) as f64;
-        let per_server = self.flow.send_rate / warm;
         let ready = self.servers.values().filter(|s| s.entry.state == ServerState::Ready).count();
         let healthy = |s: &Server| s.ejected_until <= now && (s.fails < EJECT_AFTER || s.out < 1.0);
         let healthy_count = self.servers.values().filter(|s| healthy(s)).count();
@@ -76,10 +80,9 @@
                 break;
             }
             let roll = self.chance();
-            let warmth = self.warmth(now, &self.servers[&id]);
             let fleet = self.flow.mean.max(1.0);
             let Some(s) = self.servers.get(&id) else { continue };
-            if s.entry.state != ServerState::Ready || s.paused_until > now {
+            if s.entry.state != ServerState::Ready || s.paused_until > now || self.warmth(now, s) < 1.0 {
                 continue;
             }
             let allowed = match open.class.repeat {
@@ -96,14 +99,10 @@
             if !healthy(s) && (2 * healthy_count >= ready || s.unreachable) {
                 continue;
             }
-            if !self.cold_start_allows(now, id, per_server) {
-                continue;
-            }
-            let Some(s) = self.servers.get(&id) else { continue };
             let slack = if subset { SUBSET_FORGET } else { 1.0 };
             let stale = (-(now - s.heard).max(0.0) / (FORGET * slack)).exp();
             let mean = if s.mean > 0.0 { fleet + (s.mean - fleet) * stale } else { fleet };
-            let cost = mean * (1.0 + s.out) * (1.0 + 0.1 * roll) / warmth;
+            let cost = mean * (1.0 + s.out) * (1.0 + 0.1 * roll);
             able.push((cost, id));
         }
         if subset && able.len() > 2 {
--- a/src/logic/pressure.rs
+++ b/src/logic/pressure.rs
@@ -21,7 +21,6 @@
         let Some(server) = chosen else { return false };
         if let Some(s) = self.servers.get_mut(&server) {
             s.out += 1.0;
-            s.tokens -= 1.0;
         }
         let until = if open.class.late_worth > 0.0 { open.ends_at } else { open.aim_at };
         let timeout = (until - now).max(1.0);
