--- a/src/logic/choice.rs
+++ b/src/logic/choice.rs
@@ -45,14 +45,16 @@
             if known.heard == 0.0 || known.entry.started != started {
                 // A new process: what was known of the old one is void, but its attempts still end.
                 let (out, mean) = (known.out, fleet);
-                *known = Server { out, mean, heard: now, tokens_at: started, ..Server::default() };
+                *known = Server { out, mean, heard: now, ..Server::default() };
             }
             known.entry = entry;
+            self.servers.group(place);
             self.review(now, place);
         }
         if update != ListUpdate::Delta {
             self.servers.drop_unlisted();
         }
+        self.flow.size = self.servers.mean_weight();
         if self.flow.limit <= 0.0 {
             self.flow.limit = START_LIMIT * self.servers.len() as f64 / self.set.gateways.max(1.0);
         }
@@ -79,18 +81,19 @@
         let Some(place) = self.servers.find(server) else { return };
         let s = self.servers.at_mut(place);
         s.out += 1.0;
-        s.tokens -= 1.0;
         self.review(now, place);
     }
 
     /// The cheapest server a request may go to: mean answer time times what is out there already.
     pub(super) fn choose(&mut self, now: Millis, open: &Open) -> Option<ServerId> {
+        if let Some(cold) = self.cold_pick(now, open) {
+            return Some(cold);
+        }
         for place in self.servers.due(now) {
             self.review(now, place);
         }
         let ran = open.attempts.iter().find(|a| a.may_have_run).copied();
-        let bound = ran.and_then(|a| self.servers.get(&a.server)).map(|s| (s.entry.zone, s.entry.cell));
-        let per_server = self.flow.send_rate / self.servers.warm.max(1) as f64;
+        let home = ran.and_then(|a| self.servers.get(&a.server)).map(|s| (s.entry.zone, s.entry.cell));
         let ready = self.servers.ready;
         // Subsetting: danger is that evidence of each server comes too rarely to act on. Of a subset, in an
         // order of this gateway's own, two are compared: all compared would send many gateways to one server
@@ -101,10 +104,10 @@
         let repeat = open.class.repeat;
         let anywhere =
             ran.is_none() || matches!(repeat, Repeat::Safe | Repeat::Keyed { group: Group::All, .. });
-        let allowed = |s: &Server| match repeat {
-            Repeat::Keyed { group: Group::Zone, .. } => bound.is_some_and(|b| b.0 == s.entry.zone),
-            Repeat::Keyed { group: Group::Cell, .. } => bound.is_some_and(|b| b.1 == s.entry.cell),
-            _ => false,
+        let group = match repeat {
+            Repeat::Keyed { group: Group::Zone, .. } => home.map(|h| Tag::Zone(h.0)),
+            Repeat::Keyed { group: Group::Cell, .. } => home.map(|h| Tag::Cell(h.1)),
+            _ => None,
         };
         let met = open.attempts.iter().filter(|a| a.live || ready > 1);
         let met: Vec<Place> = met.filter_map(|a| self.servers.find(a.server)).collect();
@@ -122,18 +125,9 @@
             able &= !met.iter().filter(|m| m.0 == b).fold(0, |bits, m| bits | 1 << m.1);
             self.looks += 1;
             if !anywhere {
-                self.looks += u64::from(able.count_ones());
-                able &= block.matching(able, allowed);
-            }
-            for i in ones(able & block.cold) {
-                if (able & below(i)).count_ones() as usize >= walk.room() {
-                    break;
-                }
-                self.looks += 1;
-                if !self.cold_start_allows(now, (b, i), per_server) {
-                    able &= !(1 << i);
-                }
+                able &= group.map_or(0, |group| block.of(group));
             }
+            able &= !block.cold;
             walk.take(b, able, self.servers.blocks[b].slots.len());
         }
         // Each server passed has a draw of its own, whether it is used or not.
@@ -159,7 +153,7 @@
     fn compare(&mut self, now: Millis, place: Place, roll: f64, best: &mut (Millis, Option<ServerId>)) {
         self.looks += 1;
         let (s, fleet) = (self.servers.at(place), self.flow.mean.max(1.0));
-        let cost = |mean: Millis| mean * (1.0 + s.out) * (1.0 + 0.1 * roll) / self.warmth(now, s);
+        let cost = |mean: Millis| mean * (1.0 + s.out) * (1.0 + 0.1 * roll);
         let mean = if s.mean > 0.0 { s.mean } else { fleet };
         // What it is taken for lies between its own mean and the fleet's: most need no closer look.
         if cost(mean.min(fleet)) * NEARLY > best.0 {
