--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -29,6 +29,13 @@
     pub(crate) warm: bool,
 }
 
+/// What servers have in common.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Tag {
+    Zone(u16),
+    Cell(u16),
+}
+
 /// A server and how it is kept.
 #[derive(Default)]
 pub(crate) struct Slot {
@@ -40,6 +47,8 @@
     wake: u64,
     /// The last list it was entered in.
     listed: u32,
+    /// The weight it is counted with; 0: none is told.
+    weight: f64,
 }
 
 /// Consecutive servers of the order; bit `i` of each mask stands for the server at `i`.
@@ -53,17 +62,28 @@
     pub(crate) ailing: u64,
     /// Not warm yet.
     pub(crate) cold: u64,
+    /// Of each zone and cell in it, ordered by it.
+    groups: Vec<(Tag, u64)>,
     pub(crate) slots: Vec<Slot>,
 }
 
 impl Block {
-    fn masks(&mut self) -> [&mut u64; 3] {
-        [&mut self.sound, &mut self.ailing, &mut self.cold]
+    fn masks(&mut self) -> impl Iterator<Item = &mut u64> {
+        let groups = self.groups.iter_mut().map(|group| &mut group.1);
+        [&mut self.sound, &mut self.ailing, &mut self.cold].into_iter().chain(groups)
     }
 
-    /// Which of some servers fit.
-    pub(crate) fn matching(&self, bits: u64, fits: impl Fn(&Server) -> bool) -> u64 {
-        ones(bits).filter(|i| fits(&self.slots[*i].server)).fold(0, |all, i| all | 1 << i)
+    /// The servers of a zone or cell.
+    pub(crate) fn of(&self, tag: Tag) -> u64 {
+        self.groups.binary_search_by_key(&tag, |g| g.0).map_or(0, |at| self.groups[at].1)
+    }
+
+    /// Adds servers to a zone or cell.
+    fn join(&mut self, tag: Tag, bits: u64) {
+        match self.groups.binary_search_by_key(&tag, |g| g.0) {
+            Ok(at) => self.groups[at].1 |= bits,
+            Err(at) => self.groups.insert(at, (tag, bits)),
+        }
     }
 
     /// Sets the bits of the server at `i`.
@@ -71,7 +91,7 @@
         let s = self.slots[i].standing;
         let takes = s.ready && !s.paused;
         let bits = [takes && s.healthy, takes && !s.healthy && s.reachable, !s.warm];
-        for (mask, bit) in self.masks().into_iter().zip(bits) {
+        for (mask, bit) in self.masks().zip(bits) {
             *mask = *mask & !(1 << i) | u64::from(bit) << i;
         }
     }
@@ -93,7 +113,7 @@
 
 /// The servers known.
 pub(crate) struct Fleet {
-    salt: u64,
+    pub(crate) salt: u64,
     /// No block is empty.
     pub(crate) blocks: Vec<Block>,
     /// When the standing of which server may change by time alone: the bits of the time, which order as it
@@ -101,6 +121,8 @@
     wakes: BTreeSet<(u64, u64)>,
     listing: u32,
     len: usize,
+    /// Sum and number of the weights told.
+    weights: (f64, usize),
     pub(crate) ready: usize,
     pub(crate) healthy: usize,
     pub(crate) warm: usize,
@@ -109,7 +131,7 @@
 impl Fleet {
     pub(crate) fn new(salt: u64) -> Self {
         let (blocks, wakes) = (Vec::new(), BTreeSet::new());
-        Fleet { salt, blocks, wakes, listing: 0, len: 0, ready: 0, healthy: 0, warm: 0 }
+        Fleet { salt, blocks, wakes, listing: 0, len: 0, weights: (0.0, 0), ready: 0, healthy: 0, warm: 0 }
     }
 
     pub(crate) fn len(&self) -> usize {
@@ -156,11 +178,17 @@
             }
             if self.blocks[b].slots.len() == BLOCK {
                 let full = &mut self.blocks[b];
-                let mut upper = Block { slots: full.slots.split_off(MERGE), ..Block::default() };
+                let mut upper = Block {
+                    slots: full.slots.split_off(MERGE),
+                    groups: full.groups.clone(),
+                    ..Block::default()
+                };
                 upper.first = upper.slots[0].key;
-                for (low, high) in full.masks().into_iter().zip(upper.masks()) {
+                for (low, high) in full.masks().zip(upper.masks()) {
                     (*low, *high) = (*low & below(MERGE), *low >> MERGE);
                 }
+                full.groups.retain(|group| group.1 != 0);
+                upper.groups.retain(|group| group.1 != 0);
                 self.blocks.insert(b + 1, upper);
                 if i > MERGE {
                     (b, i) = (b + 1, i - MERGE);
@@ -181,6 +209,43 @@
         (b, i)
     }
 
+    /// The server of a rank in the order.
+    pub(crate) fn nth(&self, mut rank: usize) -> Option<&Server> {
+        for block in &self.blocks {
+            if let Some(slot) = block.slots.get(rank) {
+                return Some(&slot.server);
+            }
+            rank -= block.slots.len();
+        }
+        None
+    }
+
+    /// The mean of the weights told.
+    pub(crate) fn mean_weight(&self) -> f64 {
+        self.weights.0 / self.weights.1.max(1) as f64
+    }
+
+    /// Counts a server with a weight in place of its last one.
+    fn weigh(&mut self, (b, i): Place, weight: f64) {
+        let old = std::mem::replace(&mut self.blocks[b].slots[i].weight, weight);
+        self.weights.1 = self.weights.1 + usize::from(weight > 0.0) - usize::from(old > 0.0);
+        self.weights.0 = if self.weights.1 > 0 { self.weights.0 + weight - old } else { 0.0 };
+    }
+
+    /// Puts a server into the zone and cell of its entry, and counts it with its weight.
+    pub(crate) fn group(&mut self, (b, i): Place) {
+        let weight = self.blocks[b].slots[i].server.entry.weight;
+        self.weigh((b, i), if weight > 0.0 { weight } else { 0.0 });
+        let block = &mut self.blocks[b];
+        let entry = &block.slots[i].server.entry;
+        let tags = [Tag::Zone(entry.zone), Tag::Cell(entry.cell)];
+        if tags.iter().any(|tag| block.of(*tag) >> i & 1 == 0) {
+            block.groups.iter_mut().for_each(|group| group.1 &= !(1 << i));
+            tags.into_iter().for_each(|tag| block.join(tag, 1 << i));
+            block.groups.retain(|group| group.1 != 0);
+        }
+    }
+
     /// Counts a server anew; `until` is when its standing may change by itself.
     pub(crate) fn stand(&mut self, (b, i): Place, standing: Standing, until: Millis) {
         let block = &mut self.blocks[b];
@@ -223,11 +288,13 @@
     fn take_out(&mut self, key: u64) {
         let (b, Ok(i)) = self.search(key) else { return };
         self.stand((b, i), Standing::default(), Millis::INFINITY);
+        self.weigh((b, i), 0.0);
         let block = &mut self.blocks[b];
         block.slots.remove(i);
         for mask in block.masks() {
             *mask = *mask & below(i) | (*mask >> 1) & !below(i);
         }
+        block.groups.retain(|group| group.1 != 0);
         self.len -= 1;
         if self.blocks[b].slots.is_empty() {
             self.blocks.remove(b);
@@ -238,9 +305,10 @@
             let mut upper = self.blocks.remove(b + 1);
             let block = &mut self.blocks[b];
             let shift = block.slots.len();
-            for (low, high) in block.masks().into_iter().zip(upper.masks()) {
+            for (low, high) in block.masks().take(3).zip(upper.masks()) {
                 *low |= *high << shift;
             }
+            upper.groups.iter().for_each(|group| block.join(group.0, group.1 << shift));
             block.slots.append(&mut upper.slots);
         }
     }
