--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -47,8 +47,6 @@
     wake: u64,
     /// The last list it was entered in.
     listed: u32,
-    /// The weight it is counted with; 0: none is told.
-    weight: f64,
 }
 
 /// Consecutive servers of the order; bit `i` of each mask stands for the server at `i`.
@@ -113,7 +111,7 @@
 
 /// The servers known.
 pub(crate) struct Fleet {
-    pub(crate) salt: u64,
+    salt: u64,
     /// No block is empty.
     pub(crate) blocks: Vec<Block>,
     /// When the standing of which server may change by time alone: the bits of the time, which order as it
@@ -121,8 +119,6 @@
     wakes: BTreeSet<(u64, u64)>,
     listing: u32,
     len: usize,
-    /// Sum and number of the weights told.
-    weights: (f64, usize),
     pub(crate) ready: usize,
     pub(crate) healthy: usize,
     pub(crate) warm: usize,
@@ -131,7 +127,7 @@
 impl Fleet {
     pub(crate) fn new(salt: u64) -> Self {
         let (blocks, wakes) = (Vec::new(), BTreeSet::new());
-        Fleet { salt, blocks, wakes, listing: 0, len: 0, weights: (0.0, 0), ready: 0, healthy: 0, warm: 0 }
+        Fleet { salt, blocks, wakes, listing: 0, len: 0, ready: 0, healthy: 0, warm: 0 }
     }
 
     pub(crate) fn len(&self) -> usize {
@@ -209,33 +205,8 @@
         (b, i)
     }
 
-    /// The server of a rank in the order.
-    pub(crate) fn nth(&self, mut rank: usize) -> Option<&Server> {
-        for block in &self.blocks {
-            if let Some(slot) = block.slots.get(rank) {
-                return Some(&slot.server);
-            }
-            rank -= block.slots.len();
-        }
-        None
-    }
-
-    /// The mean of the weights told.
-    pub(crate) fn mean_weight(&self) -> f64 {
-        self.weights.0 / self.weights.1.max(1) as f64
-    }
-
-    /// Counts a server with a weight in place of its last one.
-    fn weigh(&mut self, (b, i): Place, weight: f64) {
-        let old = std::mem::replace(&mut self.blocks[b].slots[i].weight, weight);
-        self.weights.1 = self.weights.1 + usize::from(weight > 0.0) - usize::from(old > 0.0);
-        self.weights.0 = if self.weights.1 > 0 { self.weights.0 + weight - old } else { 0.0 };
-    }
-
-    /// Puts a server into the zone and cell of its entry, and counts it with its weight.
+    /// Puts a server into the zone and cell of its entry.
     pub(crate) fn group(&mut self, (b, i): Place) {
-        let weight = self.blocks[b].slots[i].server.entry.weight;
-        self.weigh((b, i), if weight > 0.0 { weight } else { 0.0 });
         let block = &mut self.blocks[b];
         let entry = &block.slots[i].server.entry;
         let tags = [Tag::Zone(entry.zone), Tag::Cell(entry.cell)];
@@ -288,7 +259,6 @@
     fn take_out(&mut self, key: u64) {
         let (b, Ok(i)) = self.search(key) else { return };
         self.stand((b, i), Standing::default(), Millis::INFINITY);
-        self.weigh((b, i), 0.0);
         let block = &mut self.blocks[b];
         block.slots.remove(i);
         for mask in block.masks() {
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -1,7 +1,7 @@
 //! Every decision of a gateway, in the order a request meets them. The vocabulary (settings, events,
 //! actions) is in `src/interface.rs`; each departure from the rule is told where it is decided.
 
-use crate::fleet::{share, Draws, Fleet, Place, Standing, Tag, Walk};
+use crate::fleet::{below, ones, share, Draws, Fleet, Place, Standing, Tag, Walk};
 use crate::interface::*;
 use crate::state::*;
 use rand_core::{RngCore, SeedableRng};
--- a/src/logic/choice.rs
+++ b/src/logic/choice.rs
@@ -45,7 +45,7 @@
             if known.heard == 0.0 || known.entry.started != started {
                 // A new process: what was known of the old one is void, but its attempts still end.
                 let (out, mean) = (known.out, fleet);
-                *known = Server { out, mean, heard: now, ..Server::default() };
+                *known = Server { out, mean, heard: now, tokens_at: started, ..Server::default() };
             }
             known.entry = entry;
             self.servers.group(place);
@@ -54,7 +54,6 @@
         if update != ListUpdate::Delta {
             self.servers.drop_unlisted();
         }
-        self.flow.size = self.servers.mean_weight();
         if self.flow.limit <= 0.0 {
             self.flow.limit = START_LIMIT * self.servers.len() as f64 / self.set.gateways.max(1.0);
         }
@@ -81,19 +80,18 @@
         let Some(place) = self.servers.find(server) else { return };
         let s = self.servers.at_mut(place);
         s.out += 1.0;
+        s.tokens -= 1.0;
         self.review(now, place);
     }
 
     /// The cheapest server a request may go to: mean answer time times what is out there already.
     pub(super) fn choose(&mut self, now: Millis, open: &Open) -> Option<ServerId> {
-        if let Some(cold) = self.cold_pick(now, open) {
-            return Some(cold);
-        }
         for place in self.servers.due(now) {
             self.review(now, place);
         }
         let ran = open.attempts.iter().find(|a| a.may_have_run).copied();
         let home = ran.and_then(|a| self.servers.get(&a.server)).map(|s| (s.entry.zone, s.entry.cell));
+        let per_server = self.flow.send_rate / self.servers.warm.max(1) as f64;
         let ready = self.servers.ready;
         // Subsetting: danger is that evidence of each server comes too rarely to act on. Of a subset, in an
         // order of this gateway's own, two are compared: all compared would send many gateways to one server
@@ -127,7 +125,15 @@
             if !anywhere {
                 able &= group.map_or(0, |group| block.of(group));
             }
-            able &= !block.cold;
+            for i in ones(able & block.cold) {
+                if (able & below(i)).count_ones() as usize >= walk.room() {
+                    break;
+                }
+                self.looks += 1;
+                if !self.cold_start_allows(now, (b, i), per_server) {
+                    able &= !(1 << i);
+                }
+            }
             walk.take(b, able, self.servers.blocks[b].slots.len());
         }
         // Each server passed has a draw of its own, whether it is used or not.
@@ -153,7 +159,7 @@
     fn compare(&mut self, now: Millis, place: Place, roll: f64, best: &mut (Millis, Option<ServerId>)) {
         self.looks += 1;
         let (s, fleet) = (self.servers.at(place), self.flow.mean.max(1.0));
-        let cost = |mean: Millis| mean * (1.0 + s.out) * (1.0 + 0.1 * roll);
+        let cost = |mean: Millis| mean * (1.0 + s.out) * (1.0 + 0.1 * roll) / self.warmth(now, s);
         let mean = if s.mean > 0.0 { s.mean } else { fleet };
         // What it is taken for lies between its own mean and the fleet's: most need no closer look.
         if cost(mean.min(fleet)) * NEARLY > best.0 {
--- a/src/state.rs
+++ b/src/state.rs
@@ -61,6 +61,9 @@
     pub(crate) ejections: u32,
     pub(crate) ejected_until: Millis,
     pub(crate) paused_until: Millis,
+    /// Attempts that a cold server may be sent now.
+    pub(crate) tokens: f64,
+    pub(crate) tokens_at: Millis,
 }
 
 /// One attempt of an open request.
@@ -100,8 +103,6 @@
     /// Mean answer time of the fleet, and its ratio to the aims.
     pub(crate) mean: Millis,
     pub(crate) slowness: f64,
-    /// Mean of the sizes that the list tells.
-    pub(crate) size: f64,
     /// This gateway keeps to a part of the fleet.
     pub(crate) subset: bool,
     /// Nothing is sent before this.
