--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -10,4 +10,9 @@
 lines=$(cat "${policy[@]}" | grep -cve '^[[:space:]]*$')
 wide=$(cat "${policy[@]}" | awk 'length($0) > 110' | wc -l)
 echo "${policy[*]}: $lines non-blank lines (1200 at most), $wide over 110 characters (none allowed)"
-[ "$lines" -le 1200 ] && [ "$wide" -eq 0 ]
+[ "$lines" -le 1200 ] && [ "$wide" -eq 0 ] || exit 1
+# Faults that are known and not mended. None of them is a test that ran above: all of those have to pass.
+if [ -s KNOWN-RED.txt ]; then
+  echo "Known faults:"
+  cat KNOWN-RED.txt
+fi
