--- a/review/standins/client.rs
+++ b/review/standins/client.rs
@@ -12,7 +12,10 @@
 /// How a request ended for its client.
 #[derive(Debug)]
 pub enum End {
-    Answered { status: u16, body: String },
+    Answered {
+        status: u16,
+        body: String,
+    },
     /// The connection ended, twice if it was a kept one, with no whole answer.
     Closed,
     /// There was no answer half a second after the client's time.
@@ -29,13 +32,15 @@
 
 pub struct Client {
     limiter: SocketAddr,
+    /// Number of the limiter, with which the sets of this client's customers begin.
+    limiter_number: usize,
     record: Record,
     connection: Option<(TcpStream, Reader)>,
 }
 
 impl Client {
-    pub fn new(limiter: SocketAddr, record: &Record) -> Client {
-        Client { limiter, record: record.clone(), connection: None }
+    pub fn new(limiter: SocketAddr, limiter_number: usize, record: &Record) -> Client {
+        Client { limiter, limiter_number, record: record.clone(), connection: None }
     }
 
     fn connect(&mut self) -> std::io::Result<()> {
@@ -55,7 +60,8 @@
         let text = format!(
             "{method} /{class}?customer={customer:016x} HTTP/1.1\r\nHost: api.internal\r\nX-Correlation-Id: {id}\r\n\
              X-Service-Class: {class}\r\nX-Plan: lokal\r\nX-Time-Left: {time_left:.3}\r\n{length}\
-             X-Quota: units=1,spread=2,first=0\r\n\r\n{body}"
+             X-Quota: units=1,spread=2,first={}\r\n\r\n{body}",
+            self.limiter_number
         );
         let was_kept = self.connection.is_some();
         let sent_at = self.record.now();
--- a/review/standins/discovery.rs
+++ b/review/standins/discovery.rs
@@ -40,6 +40,7 @@
     revision: u64,
     members: Vec<Member>,
     answer_delay: Duration,
+    closed: bool,
 }
 
 impl State {
@@ -62,7 +63,7 @@
     pub fn start(record: &Record, members: Vec<Member>, answer_delay: Duration) -> Discovery {
         let listener = TcpListener::bind("127.0.0.1:0").expect("no free port");
         let address = listener.local_addr().expect("no address");
-        let state = State { revision: 1, members, answer_delay };
+        let state = State { revision: 1, members, answer_delay, closed: false };
         let discovery = Discovery { address, shared: Arc::new((Mutex::new(state), Condvar::new())) };
         let (serving, record) = (discovery.clone(), record.clone());
         std::thread::spawn(move || {
@@ -79,8 +80,27 @@
         self.shared.0.lock().unwrap().list(true, 0)
     }
 
-    pub fn set_answer_delay(&self, delay: Duration) {
-        self.shared.0.lock().unwrap().answer_delay = delay;
+    /// Starts an agent to which nothing has been sent yet.
+    pub fn start_empty(record: &Record) -> Discovery {
+        let discovery = Discovery::start(record, Vec::new(), Duration::ZERO);
+        discovery.shared.0.lock().unwrap().revision = 0;
+        discovery
+    }
+
+    /// Ends the agent: it closes its connections and answers no further call.
+    pub fn close(&self) {
+        self.shared.0.lock().unwrap().closed = true;
+        self.shared.1.notify_all();
+    }
+
+    /// Sends the whole list to the agent. The open watches tell it at once.
+    pub fn receive_list(&self, members: &[Member]) {
+        let mut state = self.shared.0.lock().unwrap();
+        state.revision += 1;
+        state.members = members.to_vec();
+        let revision = state.revision;
+        state.members.iter_mut().for_each(|member| member.revision = revision);
+        self.shared.1.notify_all();
     }
 
     /// Changes the phase of a member. The open watches tell it at once.
@@ -99,7 +119,13 @@
         let Ok(mut reader) = Reader::new(&stream) else { return };
         while let Ok(call) = reader.message() {
             record.line(&format!("discovery call {}", call.start_line));
-            let delay = self.shared.0.lock().unwrap().answer_delay;
+            let (delay, closed) = {
+                let state = self.shared.0.lock().unwrap();
+                (state.answer_delay, state.closed)
+            };
+            if closed {
+                return;
+            }
             std::thread::sleep(delay);
             let path = call.start_line.split(' ').nth(1).unwrap_or("").to_owned();
             if path.contains("follow=1") {
@@ -122,9 +148,12 @@
         stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")?;
         loop {
             let mut state = self.shared.0.lock().unwrap();
-            if state.revision <= since {
+            if state.revision <= since && !state.closed {
                 state = self.shared.1.wait_timeout(state, HEARTBEAT).unwrap().0;
             }
+            if state.closed {
+                return Ok(());
+            }
             let line = if state.revision > since { state.list(false, since) + "\n" } else { "\n".to_owned() };
             since = state.revision;
             drop(state);
--- a/review/standins/http.rs
+++ b/review/standins/http.rs
@@ -63,7 +63,9 @@
                 self.buffer.extend_from_slice(&chunk[..n]);
                 Ok(())
             }
-            Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => Err(NoMessage::TimedOut),
+            Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {
+                Err(NoMessage::TimedOut)
+            }
             _ if self.buffer.is_empty() => Err(NoMessage::Ended),
             _ => Err(NoMessage::Broken),
         }
@@ -88,7 +90,8 @@
             .filter_map(|line| line.split_once(':'))
             .map(|(name, value)| (name.trim().to_owned(), value.trim().to_owned()))
             .collect();
-        let mut message = Message { start_line, headers, body: Vec::new(), first_byte, last_byte: first_byte };
+        let mut message =
+            Message { start_line, headers, body: Vec::new(), first_byte, last_byte: first_byte };
         let length = message.header("content-length").map_or(0, |value| value.parse().unwrap_or(0));
         let end = head_end + 4 + length;
         while self.buffer.len() < end {
--- a/review/standins/limiter.rs
+++ b/review/standins/limiter.rs
@@ -23,6 +23,8 @@
     pub address: SocketAddr,
     child: Child,
     folder: PathBuf,
+    config: String,
+    discovery: SocketAddr,
 }
 
 impl LimiterSetup {
@@ -36,7 +38,7 @@
             r#"{{"name":"{}","listen":"{address}","discovery":"{}","seed":"8c1f30d27a5be964","limits":{{"cores":1.0,"memory_mb":{},"sockets":{}}},"counter":"{}","known":{},"settings":{}}}"#,
             self.name, self.discovery, self.memory_mb, self.sockets, self.counter, self.known, self.settings
         );
-        std::fs::write(&config_path, config).unwrap_or_else(|e| crate::cannot_run(&format!("{e}")));
+        std::fs::write(&config_path, &config).unwrap_or_else(|e| crate::cannot_run(&format!("{e}")));
         let mut child = Command::new("/bin/sh")
             .arg("-c")
             .arg(run_command())
@@ -49,6 +51,7 @@
             .stderr(Stdio::piped())
             .spawn()
             .unwrap_or_else(|e| crate::cannot_run(&format!("the limiter cannot be started: {e}")));
+        note_process(child.id());
         let log = child.stderr.take().expect("no log");
         let (log_record, name) = (record.clone(), self.name.clone());
         std::thread::spawn(move || {
@@ -56,7 +59,7 @@
                 log_record.line(&format!("limiter {name} logs: {line}"));
             }
         });
-        let limiter = Limiter { address, child, folder };
+        let limiter = Limiter { address, child, folder, config, discovery: self.discovery };
         let give_up = Instant::now() + Duration::from_secs(10);
         while !limiter.is_ready() {
             if Instant::now() > give_up {
@@ -84,9 +87,21 @@
         matches!(self.child.try_wait(), Ok(None))
     }
 
+    /// Replaces the configuration by one that names another discovery, and sends SIGHUP.
+    pub fn move_discovery(&mut self, discovery: SocketAddr) {
+        let (old, new) =
+            (format!("\"discovery\":\"{}\"", self.discovery), format!("\"discovery\":\"{discovery}\""));
+        self.config = self.config.replace(&old, &new);
+        self.discovery = discovery;
+        let (draft, path) = (self.folder.join("config.new"), self.folder.join("config.json"));
+        let replaced = std::fs::write(&draft, &self.config).and_then(|()| std::fs::rename(&draft, &path));
+        replaced.unwrap_or_else(|e| crate::cannot_run(&format!("the configuration cannot be replaced: {e}")));
+        self.signal("-HUP");
+    }
+
     /// Sends a signal, such as `-TERM`.
     pub fn signal(&self, signal: &str) {
-        let _ = Command::new("kill").arg(signal).arg(self.child.id().to_string()).status();
+        let _ = Command::new("/bin/sh").arg("-c").arg(format!("kill {signal} {}", self.child.id())).status();
     }
 }
 
@@ -98,6 +113,25 @@
     }
 }
 
+/// The file in which the script finds the processes that still have to be ended if this program is stopped.
+fn process_file() -> Option<String> {
+    std::env::var("REVIEW_PROCESSES").ok()
+}
+
+fn note_process(id: u32) {
+    if let Some(path) = process_file() {
+        let file = std::fs::OpenOptions::new().append(true).create(true).open(path);
+        let _ = file.and_then(|mut file| writeln!(file, "{id}"));
+    }
+}
+
+/// Forgets the noted processes, because all of them have ended.
+pub fn forget_processes() {
+    if let Some(path) = process_file() {
+        let _ = std::fs::write(path, "");
+    }
+}
+
 fn free_address() -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").expect("no free port");
     listener.local_addr().expect("no address")
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -9,9 +9,11 @@
 mod client;
 mod counter;
 mod discovery;
+mod empty_agent;
 mod http;
 mod limiter;
 mod no_length;
+mod random;
 mod record;
 mod server;
 mod slow_discovery;
@@ -43,6 +45,7 @@
         cannot_run("it takes too long");
     });
     let verdict = match case.as_str() {
+        "empty-agent" => empty_agent::run(&record, trouble),
         "no-length" => no_length::run(&record, trouble),
         "slow-discovery" => slow_discovery::run(&record, trouble),
         _ => cannot_run("no such case"),
@@ -54,5 +57,7 @@
     };
     record.say(text);
     record.flush();
+    // Each case has ended its limiters.
+    limiter::forget_processes();
     std::process::exit(code);
 }
--- a/review/standins/no_length.rs
+++ b/review/standins/no_length.rs
@@ -44,7 +44,7 @@
         })
         .collect();
     let clients = (0..LIMITERS * CLIENTS_PER_LIMITER).map(|n| {
-        let mut client = Client::new(limiters[n % LIMITERS].address, record);
+        let mut client = Client::new(limiters[n % LIMITERS].address, 0, record);
         std::thread::spawn(move || drive(&mut client, n))
     });
     let clients: Vec<_> = clients.collect();
@@ -75,7 +75,8 @@
 /// Counts the marked answers that were forwarded. An answer is left out if another answer to the same request
 /// was written before it, or if its client's time was over.
 fn judge(record: &Record, outcomes: &[Outcome], attempts: &[Attempt], trouble: bool) -> Verdict {
-    let by_id: HashMap<&str, &Outcome> = outcomes.iter().map(|outcome| (outcome.id.as_str(), outcome)).collect();
+    let by_id: HashMap<&str, &Outcome> =
+        outcomes.iter().map(|outcome| (outcome.id.as_str(), outcome)).collect();
     let marked_framing = if trouble { Framing::EndOfConnection } else { Framing::Length };
     let (mut marked, mut forwarded, mut unsafe_marked, mut unsafe_failed) = (0, 0, 0, 0);
     for attempt in attempts {
@@ -99,7 +100,9 @@
     }
     let kind = if trouble { "answers with no length that came whole" } else { "answers (all with a length)" };
     record.say(&format!("{marked} {kind}, {forwarded} of them forwarded"));
-    record.say(&format!("of these {unsafe_marked} were of send-alert; {unsafe_failed} of those did not end with 200"));
+    record.say(&format!(
+        "of these {unsafe_marked} were of send-alert; {unsafe_failed} of those did not end with 200"
+    ));
     if marked < MIN_MARKED {
         return Verdict::CannotRun;
     }
--- a/review/standins/server.rs
+++ b/review/standins/server.rs
@@ -39,7 +39,10 @@
 pub struct ServerSetup {
     pub record: Record,
     pub attempts: Attempts,
+    /// Mean time that a request takes.
     pub work: Duration,
+    /// Whether the time of a request is drawn (exponential, at most six times the mean) or always the mean.
+    pub work_varies: bool,
     pub framing: FramingChoice,
     next_number: Arc<AtomicU64>,
 }
@@ -47,7 +50,7 @@
 impl ServerSetup {
     pub fn new(record: &Record, work: Duration, framing: FramingChoice) -> ServerSetup {
         let (attempts, next_number) = (Attempts::default(), Arc::default());
-        ServerSetup { record: record.clone(), attempts, work, framing, next_number }
+        ServerSetup { record: record.clone(), attempts, work, work_varies: false, framing, next_number }
     }
 
     /// Starts a server on a free port.
@@ -75,8 +78,9 @@
                 continue;
             };
             let index = self.note_arrival(&request, &id, name);
-            std::thread::sleep(self.work);
             let number = self.next_number.fetch_add(1, Ordering::SeqCst);
+            let factor = if self.work_varies { crate::random::exponential(number).min(6.0) } else { 1.0 };
+            std::thread::sleep(self.work.mul_f64(factor));
             let framing = (self.framing)(number);
             let body = format!("answer {number} of {name} to {id}");
             let framing_header = match framing {
@@ -88,7 +92,8 @@
             if framing == Framing::EndOfConnection {
                 end_in_order(&mut stream);
             }
-            self.record.line(&format!("server {name} answered {id}: 200, {framing:?}, {body:?}, {written:?}"));
+            self.record
+                .line(&format!("server {name} answered {id}: 200, {framing:?}, {body:?}, {written:?}"));
             if written.is_ok() {
                 let attempt = &mut self.attempts.lock().unwrap()[index];
                 attempt.answered = Some((framing, self.record.now()));
--- a/review/standins/slow_discovery.rs
+++ b/review/standins/slow_discovery.rs
@@ -46,7 +46,7 @@
     let ends = Instant::now() + QUIET + DRAIN;
     let clients: Vec<_> = (0..LIMITERS * CLIENTS_PER_LIMITER)
         .map(|n| {
-            let mut client = Client::new(limiters[n % LIMITERS].address, record);
+            let mut client = Client::new(limiters[n % LIMITERS].address, 0, record);
             std::thread::spawn(move || drive(&mut client, n, ends))
         })
         .collect();
@@ -65,9 +65,14 @@
         .map(|a| a.first_byte - drained_at)
         .collect();
     record.say(&format!("{} requests, {} attempts", outcomes.len(), attempts.len()));
-    record.say(&format!("attempts to the server: {before} before it drained, {} later than {LIMIT_MS} ms", late.len()));
+    record.say(&format!(
+        "attempts to the server: {before} before it drained, {} later than {LIMIT_MS} ms",
+        late.len()
+    ));
     if let (Some(first), Some(last)) = (late.first(), late.last()) {
-        record.say(&format!("the first of these {first:.0} ms and the last {last:.0} ms after discovery had the drain"));
+        record.say(&format!(
+            "the first of these {first:.0} ms and the last {last:.0} ms after discovery had the drain"
+        ));
     }
     match (before, late.len()) {
         (0..=4, _) => Verdict::CannotRun,
