Keep the concurrency limit above zero while discovery lists no server

Cause: the bounds of the limit are multiples of the listed servers per gateway. If an attempt in flight succeeded while the list was empty, ConcurrencyLimit::increase set the limit to its upper bound, 0, and the pause latency * (1 / limit - 1) became infinite. Only the end of an attempt changes limit and pause, and none could start any more.

Change: the limit does not move while no server is listed; a list raises the limit to the minimum for its servers (a list that is short for a moment lowered it in the same way); the pause is derived from the current limit.

--- a/src/policy/concurrency_limit.rs
+++ b/src/policy/concurrency_limit.rs
@@ -36,25 +36,44 @@
 /// fewer samples.
 const SUBSET_GAINS: Gains = Gains { latency_ratio_gain: 0.1, limit_step: 0.05 };
 
+/// The last attempt that succeeded or timed out.
+#[derive(Clone, Copy)]
+struct LastSample {
+    ended_at: Millis,
+    latency: Millis,
+}
+
+impl LastSample {
+    /// The time before which no further attempt may start. Such pauses enforce a limit below one attempt; a
+    /// higher limit needs none.
+    fn paused_until(&self, limit: f64) -> Millis {
+        self.ended_at + self.latency * (1.0 / limit - 1.0)
+    }
+}
+
 /// The concurrency limit of this gateway and the state that controls it.
 #[derive(Default)]
 pub(super) struct ConcurrencyLimit {
-    /// `None` until the first endpoint list that contains a server.
+    /// `None` until the first endpoint list that contains a server; greater than 0 from then on.
     limit: Option<f64>,
     /// Attempts of this gateway in flight.
     attempts_in_flight: f64,
     /// Mean response time as a share of the latency objective; 0 before the first sample.
     latency_ratio: f64,
-    /// No attempt starts before this time. Such pauses enforce a limit below one attempt.
-    paused_until: Option<Millis>,
+    last_sample: Option<LastSample>,
 }
 
 impl ConcurrencyLimit {
-    /// Sets the initial limit once servers are known. `servers_per_gateway` is the number of servers divided
-    /// by the number of gateways in the fleet.
-    pub(super) fn initialize(&mut self, servers_per_gateway: f64) {
-        if self.limit.is_none() && servers_per_gateway > 0.0 {
-            self.limit = Some(INITIAL_ATTEMPTS_PER_SERVER * servers_per_gateway);
+    /// Sets the initial limit once servers are known, and raises a limit that is below the minimum for the
+    /// servers that are listed now. `servers_per_gateway` is the number of servers divided by the number of
+    /// gateways in the fleet.
+    ///
+    /// Without the second part, a limit that fell while few servers were listed would stay low after the
+    /// others have returned: only the end of an attempt raises it, and a low limit allows few attempts.
+    pub(super) fn update_server_count(&mut self, servers_per_gateway: f64) {
+        if servers_per_gateway > 0.0 {
+            let limit = self.limit.unwrap_or(INITIAL_ATTEMPTS_PER_SERVER * servers_per_gateway);
+            self.limit = Some(limit.max(MIN_ATTEMPTS_PER_SERVER * servers_per_gateway));
         }
     }
 
@@ -65,7 +84,9 @@
 
     /// Whether one more attempt may start now.
     pub(super) fn has_capacity(&self, now: Millis) -> bool {
-        self.attempts_in_flight < self.limit().max(1.0) && self.paused_until.is_none_or(|until| now >= until)
+        let limit = self.limit();
+        let paused = self.last_sample.is_some_and(|sample| now < sample.paused_until(limit));
+        self.attempts_in_flight < limit.max(1.0) && !paused
     }
 
     pub(super) fn is_exhausted(&self) -> bool {
@@ -85,7 +106,9 @@
     }
 
     /// Adjusts the limit after an attempt that succeeded or timed out. `latency` is the duration of the
-    /// attempt and `objective` the latency objective of its class, both in ms.
+    /// attempt and `objective` the latency objective of its class, both in ms. While no server is listed, the
+    /// limit stays as it is: its bounds are 0 then, and with a limit of 0 the pause after the attempt would
+    /// never end.
     pub(super) fn record_latency(
         &mut self,
         now: Millis,
@@ -97,6 +120,10 @@
         let gains = if subset_active { SUBSET_GAINS } else { DEFAULT_GAINS };
         let ratio = (latency / objective.max(1.0)).min(MAX_LATENCY_RATIO);
         self.latency_ratio += gains.latency_ratio_gain * (ratio - self.latency_ratio);
+        self.last_sample = Some(LastSample { ended_at: now, latency });
+        if servers_per_gateway <= 0.0 {
+            return;
+        }
         let limit = self.limit();
         let limit = if self.latency_ratio > DECREASE_LATENCY_RATIO {
             decrease(limit, gains.limit_step, servers_per_gateway, subset_active)
@@ -104,8 +131,6 @@
             self.increase(limit, gains.limit_step, servers_per_gateway, subset_active)
         };
         self.limit = Some(limit);
-        let pause = latency * (1.0 / limit - 1.0);
-        self.paused_until = (pause > 0.0).then_some(now + pause);
     }
 
     fn increase(&self, limit: f64, limit_step: f64, servers_per_gateway: f64, subset_active: bool) -> f64 {
--- a/src/policy/gateway.rs
+++ b/src/policy/gateway.rs
@@ -140,7 +140,7 @@
             return;
         }
         self.selector.apply_endpoints(now, update, entries);
-        self.initialize_concurrency_limit();
+        self.update_concurrency_bounds();
     }
 
     fn response_started(&mut self, id: RequestId) {
--- a/src/policy/request_lifecycle.rs
+++ b/src/policy/request_lifecycle.rs
@@ -26,10 +26,10 @@
         self.selector.len() as f64 / self.settings.fleet_gateway_count.max(1.0)
     }
 
-    /// Sets the initial concurrency limit once the first servers are known.
-    pub(super) fn initialize_concurrency_limit(&mut self) {
+    /// Adjusts the bounds of the concurrency limit to the servers that are listed now.
+    pub(super) fn update_concurrency_bounds(&mut self) {
         let servers_per_gateway = self.servers_per_gateway();
-        self.concurrency.initialize(servers_per_gateway);
+        self.concurrency.update_server_count(servers_per_gateway);
     }
 
     // ---- Arrival and admission ----------------------------------------------------------------
--- a/tests/policy/endpoints.rs
+++ b/tests/policy/endpoints.rs
@@ -2,7 +2,7 @@
 //! keeps in flight.
 
 use crate::rig::{large_fleet_settings, settings, Received, Rig};
-use crate::simulation::{attempt_ended, complete_list, incremental_list, ready_endpoint};
+use crate::simulation::{attempt_ended, complete_list, incremental_list, ready_endpoint, ready_endpoints};
 use rate_limiting_gateway::event::{Endpoint, EndpointState, Outcome, Request};
 use rate_limiting_gateway::ids::{ServerId, TenantId};
 use rate_limiting_gateway::settings::Settings;
@@ -131,3 +131,57 @@
     // Six of the 60 servers fail, so a gateway's subset of eight servers contains about one failing server.
     assert!(failed <= 200, "{failed} of 5000 requests went to a failing server, 200 at most");
 }
+
+/// Sends requests one after the other and ends each attempt after `RESPONSE_TIME`. Returns how many of them
+/// were forwarded.
+fn forwarded_of_requests(rig: &mut Rig, from: f64, requests: u32) -> u32 {
+    const RESPONSE_TIME: f64 = 50.0;
+    const REQUEST_INTERVAL: f64 = 100.0;
+    let mut forwarded = 0;
+    for step in 0..requests {
+        let now = from + REQUEST_INTERVAL * f64::from(step);
+        let Received { id, actions } = rig.request_like(now, large_fleet_request());
+        let Some(server) = actions.forwarded_to() else { continue };
+        forwarded += 1;
+        rig.handle(now + RESPONSE_TIME, attempt_ended(id, 0, server, Outcome::Ok, RESPONSE_TIME));
+    }
+    forwarded
+}
+
+/// Regression test for an incident: an attempt ended while discovery listed no server, the concurrency limit
+/// became 0, and the pause derived from it never ended, not even when the servers were listed again.
+#[test]
+fn a_gateway_forwards_again_after_an_attempt_ended_while_no_server_was_listed() {
+    for outcome in [Outcome::Ok, Outcome::TimedOut] {
+        let mut rig = gateway_of_large_fleet(5, 60);
+        let Received { id, actions } = rig.request_like(1000.0, large_fleet_request());
+        let server = actions.forwarded_to().expect("the request is forwarded");
+        rig.handle(1020.0, complete_list(Vec::new()));
+        rig.handle(1050.0, attempt_ended(id, 0, server, outcome, 50.0));
+        rig.handle(2000.0, complete_list(ready_endpoints(60)));
+        let forwarded = forwarded_of_requests(&mut rig, 2100.0, 20);
+        assert_eq!(forwarded, 20, "{forwarded} of 20 requests were forwarded after {outcome:?}");
+    }
+}
+
+/// Regression test: attempts ended while discovery listed only one of many servers. The concurrency limit fell
+/// to the share of that server, and the pauses derived from it held back requests for many seconds after all
+/// servers were listed again.
+#[test]
+fn a_gateway_forwards_at_its_usual_rate_after_a_list_that_was_short_for_a_moment() {
+    let mut rig = gateway_of_large_fleet(5, 1000);
+    assert_eq!(forwarded_of_requests(&mut rig, 1000.0, 20), 20);
+    let mut ids = Vec::new();
+    for _ in 0..16 {
+        let Received { id, actions } = rig.request_like(4000.0, large_fleet_request());
+        ids.extend(actions.forwarded_to().map(|server| (id, server)));
+    }
+    assert!(ids.len() > 10, "only {} requests were forwarded at once", ids.len());
+    rig.handle(4020.0, complete_list(ready_endpoints(1)));
+    for (id, server) in ids {
+        rig.handle(4050.0, attempt_ended(id, 0, server, Outcome::Ok, 50.0));
+    }
+    rig.handle(4500.0, complete_list(ready_endpoints(1000)));
+    let forwarded = forwarded_of_requests(&mut rig, 4600.0, 20);
+    assert_eq!(forwarded, 20, "{forwarded} of 20 requests were forwarded after the list had returned");
+}
