Forward responses without a length if their connection closes in order

Cause: has_valid_framing in src/net/upstream/response.rs refused every such head before the body was read.

Change: the body is read to the end of the connection and accepted only if the server closed the connection in order. The connection's stream records that, since the kernel reports a reset once only: if a write gets it, the next read returns 0 bytes, like an orderly close.

--- a/src/net/upstream/attempt.rs
+++ b/src/net/upstream/attempt.rs
@@ -182,7 +182,7 @@
     connection: Connection,
     response: Response<Incoming>,
 ) -> AttemptResult {
-    let received = match response::receive(response).await {
+    let received = match response::receive(response, &connection.exchange).await {
         Ok(received) => received,
         Err(outcome) => return AttemptResult::without_body(outcome),
     };
--- a/src/net/upstream/instrumented_stream.rs
+++ b/src/net/upstream/instrumented_stream.rs
@@ -1,5 +1,6 @@
 //! The byte stream of an upstream connection. Before it writes the first byte of a request, the stream checks
-//! whether the byte may be written; afterwards it records that a byte has been written.
+//! whether the byte may be written; afterwards it records that a byte has been written. It also records how
+//! the connection ended.
 
 use super::closable_socket::ClosableSocket;
 use socket2::SockRef;
@@ -15,11 +16,23 @@
 /// A function that returns whether the current attempt on a connection may still begin.
 type MayBeginCheck = Box<dyn Fn() -> bool>;
 
+/// How the server ended its side of a connection, as far as the connection's stream has seen it.
+#[derive(Clone, Copy, Default, PartialEq, Eq)]
+enum ConnectionEnd {
+    #[default]
+    NotSeen,
+    /// A read returned 0 bytes, and no operation had failed before.
+    Closed,
+    /// A read or write failed, for example because the server reset the connection.
+    Failed,
+}
+
 /// State of the current request on a connection, shared by the attempt and the connection's stream.
 #[derive(Default)]
 pub(super) struct ExchangeState {
     has_written: Cell<bool>,
     may_begin: RefCell<Option<MayBeginCheck>>,
+    connection_end: Cell<ConnectionEnd>,
 }
 
 impl ExchangeState {
@@ -41,6 +54,21 @@
         self.has_written.get()
     }
 
+    /// Whether the server has closed the connection in order, so that everything that it sent has been read.
+    ///
+    /// The kernel reports a reset to one operation only. If that operation was a write, the next read returns
+    /// 0 bytes, as after an orderly close. The connection therefore counts as closed in order only if no
+    /// operation failed before that read.
+    pub(super) fn is_closed_in_order(&self) -> bool {
+        self.connection_end.get() == ConnectionEnd::Closed
+    }
+
+    fn record_end(&self, end: ConnectionEnd) {
+        if self.connection_end.get() == ConnectionEnd::NotSeen {
+            self.connection_end.set(end);
+        }
+    }
+
     fn may_not_begin(&self) -> bool {
         self.may_begin.borrow().as_ref().is_some_and(|may_begin| !may_begin())
     }
@@ -79,8 +107,10 @@
     }
 
     fn record_write(&self, result: &Poll<io::Result<usize>>) {
-        if matches!(result, Poll::Ready(Ok(1..))) {
-            self.exchange.has_written.set(true);
+        match result {
+            Poll::Ready(Ok(1..)) => self.exchange.has_written.set(true),
+            Poll::Ready(Err(_)) => self.exchange.record_end(ConnectionEnd::Failed),
+            _ => {}
         }
     }
 }
@@ -105,7 +135,16 @@
 
 impl AsyncRead for InstrumentedStream {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
-        self.socket.with_stream(|stream| Pin::new(stream).poll_read(cx, buf))
+        let filled_before = buf.filled().len();
+        let result = self.socket.with_stream(|stream| Pin::new(stream).poll_read(cx, buf));
+        match result {
+            Poll::Ready(Ok(())) if buf.filled().len() == filled_before && buf.remaining() > 0 => {
+                self.exchange.record_end(ConnectionEnd::Closed);
+            }
+            Poll::Ready(Err(_)) => self.exchange.record_end(ConnectionEnd::Failed),
+            _ => {}
+        }
+        result
     }
 }
 
--- a/tests/support/server.rs
+++ b/tests/support/server.rs
@@ -1,6 +1,7 @@
 //! A stub of a server behind the gateway.
 
 use super::{endpoint_entry, eventually, read_message, response_bytes, Message};
+use socket2::SockRef;
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -16,6 +17,8 @@
     Delayed(Duration, Vec<u8>),
     /// Writes the bytes and closes the connection.
     Close(Vec<u8>),
+    /// Writes the bytes and, after a delay, resets the connection.
+    Reset(Vec<u8>, Duration),
     /// Writes the first bytes, and after a delay the second bytes, which no request has asked for.
     WriteTwice(Vec<u8>, Duration, Vec<u8>),
     /// Writes nothing and leaves the connection open.
@@ -127,6 +130,16 @@
                     let _ = self.idle_before_close.send(Duration::ZERO);
                     return;
                 }
+                StubResponse::Reset(bytes, wait) => {
+                    let _ = stream.write_all(&bytes);
+                    std::thread::sleep(wait);
+                    SockRef::from(&stream)
+                        .set_linger(Some(Duration::ZERO))
+                        .expect("the linger option could not be set");
+                    drop((stream, reader));
+                    let _ = self.idle_before_close.send(Duration::ZERO);
+                    return;
+                }
                 StubResponse::NoResponse => {}
             }
         }
--- a/tests/unit/instrumented_stream.rs
+++ b/tests/unit/instrumented_stream.rs
@@ -1,4 +1,4 @@
-//! Tests of the checks before the first byte of a request is written.
+//! Tests of the checks before the first byte of a request is written, and of the recorded end of a connection.
 
 use super::*;
 use std::io::Write as _;
@@ -75,3 +75,32 @@
         });
     }
 }
+
+/// A server resets the connection while a request is written. The kernel reports the reset to the write, and
+/// the next read returns 0 bytes, as after an orderly close. If that read were taken for an orderly close, a
+/// response without a length would be forwarded although a part of it is missing.
+#[test]
+fn a_reset_that_a_write_reports_is_not_recorded_as_an_orderly_close() {
+    let runtime = runtime();
+    let (listener, address) = listen();
+    for reset in [true, false] {
+        runtime.block_on(async {
+            let stream = connect(address).await;
+            let (server, _) = listener.accept().expect("a connection");
+            let mut stream = InstrumentedStream::new(ClosableSocket::new(stream), Rc::default());
+            assert!(matches!(write_first_bytes(&mut stream), Poll::Ready(Ok(3))), "nothing was written");
+            if reset {
+                SockRef::from(&server).set_linger(Some(std::time::Duration::ZERO)).expect("a linger time");
+                drop(server);
+                let written = write_first_bytes(&mut stream);
+                assert!(matches!(written, Poll::Ready(Err(_))), "the write did not fail: {written:?}");
+            } else {
+                server.shutdown(std::net::Shutdown::Write).expect("a shutdown");
+            }
+            let mut byte = [0];
+            let read = tokio::io::AsyncReadExt::read(&mut stream, &mut byte).await;
+            assert_eq!(read.ok(), Some(0), "the read did not return 0 bytes");
+            assert_eq!(stream.exchange.is_closed_in_order(), !reset, "is_closed_in_order() is wrong");
+        });
+    }
+}
