Keep overdue requests to discovery open and use the first answer to any

Cause: the watcher closed each request after half of the drain grace and sent the same one again. A longer time-out would break the other promise, that an agent which lost the requests of an outage is asked again within the grace. The 2 s limits on lists and objects failed in the same way, and connecting and the response head had a time-out each, 1.25 of the grace together.

Change: AgentRequests sends a further request at the same times as before, but keeps up to 4 unanswered requests and 2 partly received objects open, and uses the first answer. The time-out covers connection and head together.

--- a/src/net/connection_limits.rs
+++ b/src/net/connection_limits.rs
@@ -3,8 +3,8 @@
 use crate::config::Limits;
 
 /// Number of file descriptors reserved for everything except client and server connections: the connections
-/// to the counter (twice as many while the gateway moves to a new counter address), the connection to
-/// discovery, the listener and the descriptors of the runtime.
+/// to the counter (twice as many while the gateway moves to a new counter address), up to six
+/// connections to discovery, the listener and the descriptors of the runtime.
 const RESERVED_DESCRIPTORS: usize = 24;
 /// Share of all connections that is reserved for clients. The remainder is for connections to servers.
 /// A request uses one connection to a server, or two while a hedged request is in flight.
--- a/src/net/discovery/error.rs
+++ b/src/net/discovery/error.rs
@@ -9,13 +9,11 @@
 pub enum DiscoveryError {
     /// The connection could not be opened.
     Connect(std::io::Error),
-    /// The connection was not opened in time.
-    ConnectTimeout,
     /// The request could not be built, for example because the agent's address is not a valid `Host` header.
     InvalidRequest(hyper::http::Error),
     /// The connection failed, or the agent violated the HTTP protocol.
     Http(hyper::Error),
-    /// The response head did not arrive in time.
+    /// The response head did not arrive in time. The request stays open.
     ResponseTimeout,
     /// The agent responded with a status other than 200.
     UnexpectedStatus(StatusCode),
@@ -25,7 +23,7 @@
     IdleTimeout,
     /// An object began, but was not completed in time or stopped arriving.
     ObjectTimeout,
-    /// A complete list was not received in time.
+    /// A complete list was not received in time. The request may stay open.
     ListTimeout,
     /// A byte is not valid at its position in a JSON object.
     InvalidByte {
@@ -49,7 +47,6 @@
     fn fmt(&self, f: &mut Formatter<'_>) -> std::fmt::Result {
         match self {
             DiscoveryError::Connect(error) => write!(f, "the connection could not be opened: {error}"),
-            DiscoveryError::ConnectTimeout => f.write_str("the connection was not opened in time"),
             DiscoveryError::InvalidRequest(error) => write!(f, "the request could not be built: {error}"),
             DiscoveryError::Http(error) => write!(f, "HTTP error: {error}"),
             DiscoveryError::ResponseTimeout => f.write_str("the response head did not arrive in time"),
--- a/src/net/discovery/json_framer.rs
+++ b/src/net/discovery/json_framer.rs
@@ -4,8 +4,9 @@
 use super::json_scanner::{ByteScanner, JsonScanner, ScanResult};
 
 /// Share of the memory limit that the bytes of one object may use. While a complete list is decoded, memory
-/// contains a buffer of up to twice the size of the list's bytes, the decoded list and the previous list:
-/// together at most four times this share. Connections may use a share of 0.6 of the memory limit.
+/// contains two buffers (`MAX_OBJECTS_IN_TRANSIT` in [`super::requests`]) of up to twice the size of the list's
+/// bytes, the decoded list and the previous list: together at most six times this share. Connections may use a
+/// share of 0.6 of the memory limit.
 const OBJECT_MEMORY_SHARE: f64 = 1.0 / 16.0;
 /// Lower limit of [`max_object_bytes`], bytes. It applies to memory limits below about 17 MB, which are too
 /// small for the gateway to run.
@@ -27,6 +28,8 @@
     object_start: usize,
     /// Number of bytes of the buffer that have been scanned.
     scanned_bytes: usize,
+    /// Whether the scanned bytes end with an object that [`JsonFramer::next_object`] has not returned yet.
+    object_complete: bool,
     scanner: S,
     max_object_bytes: usize,
 }
@@ -40,7 +43,14 @@
 
 impl<S: ByteScanner> JsonFramer<S> {
     fn with_scanner(scanner: S, max_object_bytes: usize) -> Self {
-        JsonFramer { buffer: Vec::new(), object_start: 0, scanned_bytes: 0, scanner, max_object_bytes }
+        JsonFramer {
+            buffer: Vec::new(),
+            object_start: 0,
+            scanned_bytes: 0,
+            object_complete: false,
+            scanner,
+            max_object_bytes,
+        }
     }
 
     /// Appends a chunk of the stream.
@@ -58,21 +68,33 @@
         self.buffer.extend_from_slice(chunk);
     }
 
-    /// Returns the bytes of the next object, or `None` if that object is not complete yet.
+    /// Returns whether the next object is complete.
     ///
     /// # Errors
     /// Returns an error if the bytes cannot be part of an object, or if the incomplete object is already
     /// larger than the limit. The size is checked only while the object is incomplete, so an object that
-    /// becomes larger than the limit with its last chunk is still returned.
+    /// becomes larger than the limit with its last chunk is still accepted.
+    pub fn has_object(&mut self) -> Result<bool, DiscoveryError> {
+        if !self.object_complete {
+            self.object_complete = self.scan_to_object_end()?;
+        }
+        if !self.object_complete && self.scanned_bytes - self.object_start > self.max_object_bytes {
+            return Err(DiscoveryError::ObjectTooLarge { max_bytes: self.max_object_bytes });
+        }
+        Ok(self.object_complete)
+    }
+
+    /// Returns the bytes of the next object, or `None` if that object is not complete yet.
+    ///
+    /// # Errors
+    /// See [`JsonFramer::has_object`].
     pub fn next_object(&mut self) -> Result<Option<&[u8]>, DiscoveryError> {
-        if !self.scan_to_object_end()? {
-            if self.scanned_bytes - self.object_start > self.max_object_bytes {
-                return Err(DiscoveryError::ObjectTooLarge { max_bytes: self.max_object_bytes });
-            }
+        if !self.has_object()? {
             return Ok(None);
         }
         let object = &self.buffer[self.object_start..self.scanned_bytes];
         self.object_start = self.scanned_bytes;
+        self.object_complete = false;
         Ok(Some(object))
     }
 
--- a/src/net/discovery/mod.rs
+++ b/src/net/discovery/mod.rs
@@ -2,14 +2,16 @@
 //!
 //! [`WatcherHandle`] runs one watcher for the agent in the configuration. The watcher first reads a complete
 //! list, unless the gateway starts with a cached list. It then keeps a watch open, on which the agent sends
-//! the changes. When a request or the watch fails, the watcher retries after a backoff, and reads a complete
-//! list again if a change may have been lost. It passes each list to an [`EndpointSink`].
+//! the changes. When the watch fails, the watcher retries after a backoff, and reads a complete list again if
+//! a change may have been lost. When a request fails or its response is overdue, the watcher sends another one
+//! after a backoff, and uses the first response to any of them. It passes each list to an [`EndpointSink`].
 
 mod connect;
 mod endpoint_list;
 mod error;
 mod json_framer;
 mod json_scanner;
+mod requests;
 mod response;
 mod timing;
 mod watcher;
--- a/src/net/discovery/watcher.rs
+++ b/src/net/discovery/watcher.rs
@@ -3,15 +3,14 @@
 use super::connect::Connect;
 use super::endpoint_list::EndpointList;
 use super::error::DiscoveryError;
+use super::requests::{AgentRequests, Answer, Request};
 use super::response::ResponseStream;
-use super::timing::{
-    RequestTiming, INITIAL_BACKOFF, OBJECT_TIMEOUT, STALE_WATCH_TIMEOUT, STALL_TIMEOUT, WATCH_IDLE_TIMEOUT,
-};
+use super::timing::{RequestTiming, INITIAL_BACKOFF, STALE_WATCH_TIMEOUT, WATCH_IDLE_TIMEOUT};
 use crate::net::supervisor::keep_running;
 use std::convert::Infallible;
 use std::time::Duration;
 use tokio::task::AbortHandle;
-use tokio::time::{timeout_at, Instant};
+use tokio::time::Instant;
 
 /// Receives the lists that the agent sends.
 pub trait EndpointSink {
@@ -73,7 +72,7 @@
     sink: S,
     agent: A,
     timing: RequestTiming,
-    max_object_bytes: usize,
+    requests: AgentRequests<A>,
     /// The revision up to which all changes are known. If it is `None`, a complete list must be read next.
     revision: Option<u64>,
     backoff: Duration,
@@ -83,13 +82,14 @@
     silent_since: Option<Instant>,
 }
 
-impl<S: EndpointSink, A: Connect> EndpointWatcher<S, A> {
+impl<S: EndpointSink, A: Connect + Clone + 'static> EndpointWatcher<S, A> {
     fn new(sink: S, agent: A, known_revision: Option<u64>, limits: WatcherLimits) -> Self {
+        let timing = RequestTiming::for_drain_grace(limits.drain_grace);
         EndpointWatcher {
             sink,
+            requests: AgentRequests::new(agent.clone(), timing, limits.max_object_bytes),
             agent,
-            timing: RequestTiming::for_drain_grace(limits.drain_grace),
-            max_object_bytes: limits.max_object_bytes,
+            timing,
             revision: known_revision,
             backoff: INITIAL_BACKOFF,
             silent_since: None,
@@ -104,42 +104,51 @@
                 self.agent,
                 self.backoff.as_millis()
             );
-            tokio::time::sleep(self.backoff).await;
+            self.requests.back_off(self.backoff).await;
             self.backoff = (self.backoff * 2).min(self.timing.max_backoff);
         }
     }
 
     /// Reads a complete list if one is needed, then applies the changes from a watch until an error occurs.
     async fn watch_until_error(&mut self) -> Result<Infallible, DiscoveryError> {
-        let revision = match self.revision {
-            Some(revision) if !self.is_watch_stale() => revision,
-            _ => self.read_complete_list().await?,
-        };
-        let mut response = self.open_watch(revision).await?;
+        let mut response = self.open_watch().await?;
         loop {
             self.apply_received(&mut response)?;
             // If this await is cancelled, the bytes of a partly received list are lost with the connection.
             // The next watch starts after the revision of the last list that was fully received.
             match response.read_chunk(WATCH_IDLE_TIMEOUT).await {
                 Ok(()) => self.silent_since = None,
-                Err(error) => return Err(self.handle_watch_error(error)),
+                // The changes of the list are unknown until the rest has arrived, or a complete list.
+                Err(error @ DiscoveryError::ObjectTimeout) => {
+                    self.requests.keep_watch(response);
+                    return Err(self.require_complete_list(error));
+                }
+                Err(error) => return Err(error),
             }
         }
     }
 
-    fn is_watch_stale(&self) -> bool {
-        self.silent_since.is_some_and(|since| since.elapsed() >= STALE_WATCH_TIMEOUT)
+    /// Opens a watch that sends the changes after the known revision. Reads and applies a complete list first
+    /// if one is needed.
+    async fn open_watch(&mut self) -> Result<ResponseStream, DiscoveryError> {
+        loop {
+            let since = self.revision.filter(|_| !self.is_watch_stale());
+            let request = since.map_or(Request::CompleteList, |since| Request::Watch { since });
+            let answer = self.requests.send(request).await;
+            // The agent has responded, but nothing has been received on the watch yet. An agent that does not
+            // respond is down, which does not mean that its watches are stale.
+            if matches!(answer, Ok(Answer::Watch(_)) | Err(DiscoveryError::UnexpectedStatus(_))) {
+                self.silent_since.get_or_insert_with(Instant::now);
+            }
+            match answer? {
+                Answer::Watch(response) => return Ok(response),
+                Answer::CompleteList(mut response) => self.apply_complete_list(&mut response)?,
+            }
+        }
     }
 
-    /// Opens a watch that sends the changes after `revision`.
-    async fn open_watch(&mut self, revision: u64) -> Result<ResponseStream, DiscoveryError> {
-        let response = self.request(&format!("/v1/servers?follow=1&since={revision}")).await;
-        // The agent has responded, but nothing has been received on the watch yet. An agent that does not
-        // respond is down, which does not mean that its watches are stale.
-        if matches!(response, Ok(_) | Err(DiscoveryError::UnexpectedStatus(_))) {
-            self.silent_since.get_or_insert_with(Instant::now);
-        }
-        response
+    fn is_watch_stale(&self) -> bool {
+        self.silent_since.is_some_and(|since| since.elapsed() >= STALE_WATCH_TIMEOUT)
     }
 
     /// Applies the fully received lists of a watch.
@@ -156,14 +165,6 @@
         }
     }
 
-    fn handle_watch_error(&mut self, error: DiscoveryError) -> DiscoveryError {
-        match error {
-            // The list was only partly received, so its changes are unknown.
-            DiscoveryError::ObjectTimeout => self.require_complete_list(error),
-            error => error,
-        }
-    }
-
     /// Makes the watcher read a complete list next, because data of the watch was only partly received or
     /// cannot be decoded. That data may contain a change. Returns the error unchanged.
     fn require_complete_list(&mut self, error: DiscoveryError) -> DiscoveryError {
@@ -171,23 +172,13 @@
         error
     }
 
-    /// Reads and applies a complete list. Returns its revision.
-    async fn read_complete_list(&mut self) -> Result<u64, DiscoveryError> {
-        let mut response = self.request("/v1/servers").await?;
-        let deadline = Instant::now() + OBJECT_TIMEOUT;
-        loop {
-            if let Some(list) = response.next_list()? {
-                // Entries that cannot be decoded are ignored: another request would return the same list.
-                self.apply(&list.into_complete());
-                self.silent_since = None;
-                return Ok(self.revision.unwrap_or(0));
-            }
-            // If this await is cancelled, the bytes received so far are lost, and the list is requested
-            // again.
-            timeout_at(deadline, response.read_chunk(STALL_TIMEOUT))
-                .await
-                .map_err(|_| DiscoveryError::ListTimeout)??;
-        }
+    /// Applies the complete list that a response contains. Entries that cannot be decoded are ignored: another
+    /// request would return the same list.
+    fn apply_complete_list(&mut self, response: &mut ResponseStream) -> Result<(), DiscoveryError> {
+        let list = response.next_list()?.ok_or(DiscoveryError::ResponseEnded)?;
+        self.apply(&list.into_complete());
+        self.silent_since = None;
+        Ok(())
     }
 
     /// Records the revision of a list, resets the backoff and passes the list to the sink. Returns false if
@@ -197,10 +188,6 @@
         self.backoff = INITIAL_BACKOFF;
         self.sink.apply_endpoints(list)
     }
-
-    async fn request(&self, path: &str) -> Result<ResponseStream, DiscoveryError> {
-        ResponseStream::open(&self.agent, path, self.timing.timeout, self.max_object_bytes).await
-    }
 }
 
 #[cfg(test)]
--- a/tests/unit/endpoint_watcher.rs
+++ b/tests/unit/endpoint_watcher.rs
@@ -13,9 +13,11 @@
 use std::cell::{Cell, RefCell};
 use std::fmt::{Display, Formatter};
 use std::future::{pending, Future};
+use std::pin::Pin;
 use std::rc::Rc;
+use std::task::{Context, Poll};
 use std::time::Duration;
-use tokio::io::{duplex, AsyncReadExt, AsyncWriteExt, DuplexStream};
+use tokio::io::{duplex, AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, DuplexStream, ReadBuf};
 use tokio::time::{sleep, Instant};
 
 /// A change counts as notified this long after discovery has the change and can be reached.
@@ -64,8 +66,8 @@
     AgentMode::SendsInvalidEntries,
 ];
 
-/// State of the stub agent. The mode of a request is chosen when the request arrives; a later change of mode
-/// affects only healthy and slow watches.
+/// State of the stub agent. The mode of a request is chosen when its connection is opened; a later change of
+/// mode affects only healthy and slow watches.
 struct AgentState {
     mode: Cell<AgentMode>,
     /// The mode of watch requests, if it differs from `mode`.
@@ -75,6 +77,33 @@
     lists_sent: Cell<u32>,
     /// Number of connections opened.
     connections_opened: Cell<u32>,
+    /// Number of connections that are open, and the largest number that were open at once.
+    open_connections: Cell<u32>,
+    max_open_connections: Cell<u32>,
+    /// Time that the agent takes to accept a connection.
+    connect_delay: Cell<Duration>,
+    /// Time from the arrival of a request until the agent begins to answer it.
+    response_delay: Cell<Duration>,
+    /// Time over which an agent in the mode `Slow` sends an object.
+    slow_object_time: Cell<Duration>,
+}
+
+/// Counts a connection to the agent from when the gateway begins to open it until the gateway closes it.
+struct OpenConnection(StubAgent);
+
+impl OpenConnection {
+    fn new(agent: &StubAgent) -> Self {
+        let open_connections = agent.0.open_connections.get() + 1;
+        agent.0.open_connections.set(open_connections);
+        agent.0.max_open_connections.set(agent.0.max_open_connections.get().max(open_connections));
+        OpenConnection(agent.clone())
+    }
+}
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.0 .0.open_connections.set(self.0 .0.open_connections.get() - 1);
+    }
 }
 
 #[derive(Clone)]
@@ -82,10 +111,40 @@
 
 impl StubAgent {
     fn new(mode: AgentMode, revision: u64) -> Self {
-        let (mode, revision) = (Cell::new(mode), Cell::new(revision));
-        let (watch_mode, lists_sent, connections_opened) =
-            (Cell::default(), Cell::default(), Cell::default());
-        StubAgent(Rc::new(AgentState { mode, watch_mode, revision, lists_sent, connections_opened }))
+        StubAgent(Rc::new(AgentState {
+            mode: Cell::new(mode),
+            watch_mode: Cell::default(),
+            revision: Cell::new(revision),
+            lists_sent: Cell::default(),
+            connections_opened: Cell::default(),
+            open_connections: Cell::default(),
+            max_open_connections: Cell::default(),
+            connect_delay: Cell::default(),
+            response_delay: Cell::default(),
+            slow_object_time: Cell::new(OBJECT_TIMEOUT - STEP),
+        }))
+    }
+
+    /// An agent that begins each answer only after a delay.
+    fn with_response_delay(delay: Duration, revision: u64) -> Self {
+        let agent = StubAgent::new(AgentMode::Healthy, revision);
+        agent.0.response_delay.set(delay);
+        agent
+    }
+
+    /// An agent that sends each object over a long time.
+    fn with_slow_objects(object_time: Duration, revision: u64) -> Self {
+        let agent = StubAgent::new(AgentMode::Slow, revision);
+        agent.0.slow_object_time.set(object_time);
+        agent
+    }
+
+    /// Time over which the agent sends an object.
+    fn object_time(&self, mode: AgentMode) -> Duration {
+        match mode {
+            AgentMode::Slow => self.0.slow_object_time.get(),
+            _ => Duration::ZERO,
+        }
     }
 
     /// Returns the list of the agent's only server, which drains from revision 2 on.
@@ -110,20 +169,57 @@
 }
 
 impl Connect for StubAgent {
-    type Stream = DuplexStream;
+    type Stream = CountedStream;
 
-    async fn connect(&self) -> std::io::Result<DuplexStream> {
+    async fn connect(&self) -> std::io::Result<CountedStream> {
+        let open_connection = OpenConnection::new(self);
         self.0.connections_opened.set(self.0.connections_opened.get() + 1);
         if self.0.mode.get() == AgentMode::HangsAtConnect {
             pending::<()>().await;
         }
+        let mode = self.0.mode.get();
+        sleep(self.0.connect_delay.get()).await;
         let (gateway_io, agent_io) = duplex(1 << 16);
         let agent = self.clone();
         tokio::task::spawn_local(async move {
             // The watcher may close the connection at any time, so errors are ignored.
-            let _ = serve_request(agent_io, agent).await;
+            let _ = serve_request(agent_io, agent, mode).await;
         });
-        Ok(gateway_io)
+        Ok(CountedStream { io: gateway_io, _open_connection: open_connection })
+    }
+}
+
+/// The gateway's end of a connection.
+struct CountedStream {
+    io: DuplexStream,
+    _open_connection: OpenConnection,
+}
+
+impl AsyncRead for CountedStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<std::io::Result<()>> {
+        Pin::new(&mut self.io).poll_read(cx, buf)
+    }
+}
+
+impl AsyncWrite for CountedStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<std::io::Result<usize>> {
+        Pin::new(&mut self.io).poll_write(cx, buf)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
+        Pin::new(&mut self.io).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
+        Pin::new(&mut self.io).poll_shutdown(cx)
     }
 }
 
@@ -139,19 +235,23 @@
     }
 }
 
-async fn send_object(io: &mut DuplexStream, object: &str, slow: bool) -> std::io::Result<()> {
-    if !slow {
+/// Sends an object in pieces over `duration`, or at once if `duration` is zero.
+async fn send_object(io: &mut DuplexStream, object: &str, duration: Duration) -> std::io::Result<()> {
+    let steps = (duration.as_millis() / STEP.as_millis()) as usize;
+    if steps == 0 {
         return send_chunk(io, object).await;
     }
-    let steps = (OBJECT_TIMEOUT.as_millis() / STEP.as_millis()) as usize - 1;
-    for piece in object.as_bytes().chunks(object.len().div_ceil(steps)) {
-        sleep(STEP).await;
+    let pieces = object.as_bytes().chunks(object.len().div_ceil(steps));
+    let interval = duration / pieces.len() as u32;
+    for piece in pieces {
+        sleep(interval).await;
         send_chunk(io, std::str::from_utf8(piece).expect("the list is not ASCII")).await?;
     }
     Ok(())
 }
 
-async fn serve_request(mut io: DuplexStream, agent: StubAgent) -> std::io::Result<()> {
+/// Serves a connection that was opened while the agent was in `mode`.
+async fn serve_request(mut io: DuplexStream, agent: StubAgent, mode: AgentMode) -> std::io::Result<()> {
     let mut head = Vec::new();
     while !head.ends_with(b"\r\n\r\n") {
         head.push(io.read_u8().await?);
@@ -160,7 +260,8 @@
     let since =
         head.split_once("since=").map(|(_, rest)| rest.split(' ').next().expect("the revision is missing"));
     let since: Option<u64> = since.map(|since| since.parse().expect("the revision is not a number"));
-    let mode = agent.0.watch_mode.get().filter(|_| since.is_some()).unwrap_or(agent.0.mode.get());
+    let mode = agent.0.watch_mode.get().filter(|_| since.is_some()).unwrap_or(mode);
+    sleep(agent.0.response_delay.get()).await;
     match mode {
         AgentMode::HangsAtConnect | AgentMode::HangsAtHead => return pending().await,
         AgentMode::Closes => return Ok(()),
@@ -177,12 +278,21 @@
     if mode != AgentMode::Healthy && mode != AgentMode::Slow {
         return send_faulty_body(&mut io, mode, since.is_none()).await;
     }
-    let slow = mode == AgentMode::Slow;
-    let Some(mut sent) = since else {
+    let Some(sent) = since else {
         agent.0.lists_sent.set(agent.0.lists_sent.get() + 1);
-        send_object(&mut io, &agent.list_text(true), slow).await?;
+        send_object(&mut io, &agent.list_text(true), agent.object_time(mode)).await?;
         return io.write_all(b"0\r\n\r\n").await;
     };
+    serve_watch(io, &agent, mode, sent).await
+}
+
+/// Sends empty lines and changes on a watch until the agent's mode changes.
+async fn serve_watch(
+    mut io: DuplexStream,
+    agent: &StubAgent,
+    mode: AgentMode,
+    mut sent: u64,
+) -> std::io::Result<()> {
     let mut idle_since = Instant::now();
     send_chunk(&mut io, "\r\n").await?;
     loop {
@@ -191,7 +301,7 @@
             return send_faulty_body(&mut io, new_mode, false).await;
         }
         if agent.0.revision.get() > sent {
-            send_object(&mut io, &agent.list_text(false), slow).await?;
+            send_object(&mut io, &agent.list_text(false), agent.object_time(mode)).await?;
             sent = agent.0.revision.get();
         } else if idle_since.elapsed() >= Duration::from_secs(2) {
             send_chunk(&mut io, "\r\n").await?;
@@ -509,3 +619,187 @@
         }
     }
 }
+
+/// How a gateway comes to ask an agent for the first time.
+#[derive(Clone, Copy, Debug)]
+enum FirstRequest {
+    /// It starts without a list.
+    StartsWithoutList,
+    /// It starts with a cached list.
+    StartsWithCachedList,
+    /// A SIGHUP switches it from another agent.
+    SwitchesAgent,
+}
+
+const FIRST_REQUESTS: [FirstRequest; 3] =
+    [FirstRequest::StartsWithoutList, FirstRequest::StartsWithCachedList, FirstRequest::SwitchesAgent];
+
+/// Makes a gateway ask `agent` for the first time. Returns the watcher.
+async fn ask_for_the_first_time(
+    sink: &RecordingSink,
+    limits: WatcherLimits,
+    first_request: FirstRequest,
+    agent: &StubAgent,
+) -> WatcherHandle<StubAgent> {
+    match first_request {
+        FirstRequest::StartsWithoutList => WatcherHandle::start(sink, agent.clone(), None, limits),
+        FirstRequest::StartsWithCachedList => WatcherHandle::start(sink, agent.clone(), Some(1), limits),
+        FirstRequest::SwitchesAgent => {
+            let earlier_agent = StubAgent::new(AgentMode::Healthy, 1);
+            let mut watcher = WatcherHandle::start(sink, earlier_agent, Some(1), limits);
+            sleep(Duration::from_secs(1)).await;
+            watcher.switch_agent(sink, agent.clone());
+            watcher
+        }
+    }
+}
+
+/// The longest time until a drain is applied that a slow agent gets at any time after the first request.
+fn longest_time_until_drained(first_request: FirstRequest, new_agent: impl Fn() -> StubAgent) -> Duration {
+    let elapsed = fault_durations().map(|asked_for| {
+        run_in_paused_time(|sink, limits| {
+            let agent = new_agent();
+            async move {
+                let _watcher = ask_for_the_first_time(&sink, limits, first_request, &agent).await;
+                sleep(asked_for).await;
+                agent.0.revision.set(2);
+                time_until_drained(&sink).await
+            }
+        })
+    });
+    elapsed.max().expect("no time was tested")
+}
+
+/// Regression test for an incident: the agent took longer for each answer than the request timeout, which is
+/// half of the drain grace. The watcher gave up each request and sent the same one again, so that a gateway
+/// that started or got a SIGHUP at that time never learned of a drain.
+#[test]
+fn a_drain_at_an_agent_that_is_slow_to_answer_is_applied_in_time() {
+    for first_request in FIRST_REQUESTS {
+        for delay in [300, 490, 510, 700, 1000, 1700, 2200].map(Duration::from_millis) {
+            let longest =
+                longest_time_until_drained(first_request, || StubAgent::with_response_delay(delay, 1));
+            println!("{first_request:?}, answers after {delay:?}: drain applied within {longest:?}");
+            assert!(
+                longest < MAX_NOTIFICATION_DELAY,
+                "{first_request:?}, answers after {delay:?}: the drain was applied only after {longest:?}"
+            );
+        }
+    }
+}
+
+/// Regression test for an incident: the objects of the agent took longer than the time limit for one object.
+/// The watcher gave up each of them and requested the complete list again, without end. An object that begins
+/// just before the drain comes first, so objects of 3 s could not be received in time.
+#[test]
+fn a_drain_at_an_agent_that_sends_objects_slowly_is_applied_in_time() {
+    for first_request in FIRST_REQUESTS {
+        for object_time in [1900, 2100, 2500, 2900].map(Duration::from_millis) {
+            let longest =
+                longest_time_until_drained(first_request, || StubAgent::with_slow_objects(object_time, 1));
+            println!("{first_request:?}, objects over {object_time:?}: drain applied within {longest:?}");
+            assert!(
+                longest < MAX_NOTIFICATION_DELAY,
+                "{first_request:?}, objects over {object_time:?}: the drain was applied only after {longest:?}"
+            );
+        }
+    }
+}
+
+/// The agent loses the requests that it gets while it is down, and is slow to answer after its recovery. A
+/// request from before the recovery gets no answer, and a later one must not be given up too early.
+#[test]
+fn a_drain_at_an_agent_that_is_slow_after_it_was_down_is_applied_in_time() {
+    for stage in STAGES {
+        for delay in [700, 1000, 2200].map(Duration::from_millis) {
+            let longest = fault_durations().map(|faulty_for| {
+                run_in_paused_time(|sink, limits| async move {
+                    let mode = AgentMode::HangsAtHead;
+                    let (_watcher, agent) = start_in_stage(&sink, limits, stage, mode, faulty_for).await;
+                    agent.0.mode.set(AgentMode::Healthy);
+                    agent.0.response_delay.set(delay);
+                    agent.0.revision.set(2);
+                    time_until_drained(&sink).await
+                })
+            });
+            let longest = longest.max().expect("no fault duration was tested");
+            println!("{stage:?}, down and then answers after {delay:?}: drain applied within {longest:?}");
+            assert!(
+                longest < MAX_NOTIFICATION_DELAY,
+                "{stage:?}, answers after {delay:?}: the drain was applied only after {longest:?}"
+            );
+        }
+    }
+}
+
+/// An agent that is down accepts a connection late and then loses the request. Both waits together must leave
+/// time for another request within the drain grace after the agent's recovery.
+#[test]
+fn a_request_that_connects_late_delays_a_drain_by_less_than_the_grace() {
+    for grace in [500, 1000, 2000].map(Duration::from_millis) {
+        for faulty_for in fault_durations() {
+            let elapsed = run_in_paused_time(|sink, limits| async move {
+                let limits = WatcherLimits { drain_grace: grace, ..limits };
+                let agent = StubAgent::new(AgentMode::HangsAtHead, 1);
+                agent.0.connect_delay.set(RequestTiming::for_drain_grace(grace).timeout.mul_f64(0.9));
+                let _watcher = WatcherHandle::start(&sink, agent.clone(), Some(1), limits);
+                sleep(faulty_for).await;
+                agent.0.connect_delay.set(Duration::ZERO);
+                agent.0.mode.set(AgentMode::Healthy);
+                agent.0.revision.set(2);
+                time_until_drained(&sink).await
+            });
+            assert!(elapsed < grace, "grace {grace:?}: the drain was applied only after {elapsed:?}");
+        }
+    }
+}
+
+/// The agent answers so late that no drain can be applied in time. The gateway must still learn of it, and
+/// must not open more connections than the descriptors that are reserved for them.
+#[test]
+fn an_agent_that_takes_seconds_for_each_answer_is_still_heard_with_few_connections() {
+    const MAX_CONNECTIONS: u32 = 6;
+    for grace in [200, 1000, 20_000].map(Duration::from_millis) {
+        for delay in [700, 3000, 5000].map(Duration::from_millis) {
+            let (elapsed, connections) = run_in_paused_time(|sink, limits| async move {
+                let limits = WatcherLimits { drain_grace: grace, ..limits };
+                let agent = StubAgent::with_response_delay(delay, 2);
+                let _watcher = WatcherHandle::start(&sink, agent.clone(), None, limits);
+                (time_until_drained(&sink).await, agent.0.max_open_connections.get())
+            });
+            assert!(
+                elapsed <= delay + STEP,
+                "grace {grace:?}, answers after {delay:?}: the list was applied only after {elapsed:?}"
+            );
+            assert!(
+                connections <= MAX_CONNECTIONS,
+                "grace {grace:?}, answers after {delay:?}: {connections} connections were open at once"
+            );
+        }
+    }
+    for mode in FAULTY_MODES {
+        let connections = run_in_paused_time(|sink, limits| async move {
+            let agent = StubAgent::new(mode, 1);
+            let _watcher = WatcherHandle::start(&sink, agent.clone(), None, limits);
+            sleep(10 * MAX_NOTIFICATION_DELAY).await;
+            agent.0.max_open_connections.get()
+        });
+        assert!(connections <= MAX_CONNECTIONS, "{mode:?}: {connections} connections were open at once");
+    }
+}
+
+/// An agent that is slow answers every request that it gets. Requests that are sent although an earlier one
+/// is answered would make it slower still, so the first answer must end them.
+#[test]
+fn a_slow_agent_gets_no_further_requests_once_its_watch_is_open() {
+    run_in_paused_time(|sink, limits| async move {
+        let agent = StubAgent::with_response_delay(Duration::from_millis(1700), 1);
+        let _watcher = WatcherHandle::start(&sink, agent.clone(), None, limits);
+        sleep(2 * MAX_NOTIFICATION_DELAY).await;
+        let (requests, lists) = (agent.0.connections_opened.get(), agent.0.lists_sent.get());
+        assert!(lists <= 1, "{lists} complete lists were sent");
+        sleep(10 * MAX_NOTIFICATION_DELAY).await;
+        assert_eq!(agent.0.connections_opened.get(), requests, "the open watch was requested again");
+        assert_eq!(agent.0.open_connections.get(), 1, "a connection besides the watch stayed open");
+    });
+}
