Let requests with their whole time left pass the check for late arrivals

Cause: arrived_too_late rejects a request with less than half of its class's mean response time left. Time-outs raised the mean above twice the latency objective, which rules out every request, and only attempts change the mean.

Change: a request with at least 0.9 of the objective left always passes.

--- a/src/policy/request_lifecycle.rs
+++ b/src/policy/request_lifecycle.rs
@@ -14,6 +14,9 @@
 
 /// Weight of a new response time in the moving average of its class.
 const CLASS_LATENCY_GAIN: f64 = 0.03;
+/// A request with at least this share of its class's latency objective left never arrives too late. Only
+/// attempts correct the mean response time of the class, so a mean that ruled out every request would stay.
+const TIMELY_SHARE: f64 = 0.9;
 
 impl Gateway {
     /// Mean response time of a class, ms; 0 if the class is unknown.
@@ -56,10 +59,12 @@
 
     /// Whether a request arrives too close to its latency objective to be forwarded or queued: less than half
     /// the mean response time or less than one housekeeping interval before the objective. A queued request
-    /// could run out of time before the next housekeeping run, and would then get no answer.
+    /// could run out of time before the next housekeeping run, and would then get no answer. A mean response
+    /// time of almost twice the latency objective or more has no further effect (see [`TIMELY_SHARE`]).
     fn arrived_too_late(&self, now: Millis, tracked: &TrackedRequest) -> bool {
         let half_response_time = self.class_latency(tracked.request.class) / 2.0;
-        tracked.objective_at - now < half_response_time.max(HOUSEKEEPING_INTERVAL)
+        let timely = TIMELY_SHARE * tracked.class.latency_objective;
+        tracked.objective_at - now < half_response_time.min(timely).max(HOUSEKEEPING_INTERVAL)
     }
 
     /// Creates the state of the request's tenant if there is none, and sets the time of the tenant's last
--- a/tests/policy/retries.rs
+++ b/tests/policy/retries.rs
@@ -1,10 +1,10 @@
 //! Tests of retries for each kind of idempotency, and of requests that no server can accept.
 
 use crate::rig::{settings, Received, Rig};
-use crate::simulation::{complete_list, ready_endpoint};
+use crate::simulation::{attempt_ended, complete_list, ready_endpoint};
 use rate_limiting_gateway::action::Action;
 use rate_limiting_gateway::event::{Endpoint, Event, Outcome, Request};
-use rate_limiting_gateway::ids::RequestId;
+use rate_limiting_gateway::ids::{RequestId, TenantId};
 use rate_limiting_gateway::settings::{DeduplicationScope, Idempotency, Settings};
 
 fn settings_with(idempotency: Idempotency) -> Settings {
@@ -75,3 +75,29 @@
         rig.last_actions
     );
 }
+
+/// Regression test for a class that was rejected on arrival for good. All servers stopped responding for some
+/// seconds, and the mean response time of the class rose above twice its latency objective. From then on every
+/// request counted as too late, and only an attempt could have corrected the mean.
+#[test]
+fn a_class_is_forwarded_again_after_all_its_attempts_timed_out() {
+    const TIMEOUT: f64 = 1400.0;
+    let mut rig = Rig::new(Settings { fleet_gateway_count: 1.0, ..settings() }, 6);
+    let request_of = |tenant| Request { tenant: TenantId(tenant), gateway_count: 2.0, ..Request::default() };
+    let mut now = 1000.0;
+    for tenant in 0..100 {
+        let Received { id, actions } = rig.request_like(now, request_of(tenant));
+        let Some(server) = actions.forwarded_to() else { continue };
+        now += TIMEOUT;
+        rig.handle(now, attempt_ended(id, 0, server, Outcome::TimedOut, TIMEOUT));
+    }
+    let mut forwarded = 0;
+    for tenant in 100..200 {
+        now += 100.0;
+        let Received { id, actions } = rig.request_like(now, request_of(tenant));
+        let Some(server) = actions.forwarded_to() else { continue };
+        forwarded += 1;
+        rig.end_attempt(now + 50.0, id, server, Outcome::Ok);
+    }
+    assert_eq!(forwarded, 100, "{forwarded} of 100 requests were forwarded after the servers recovered");
+}
