Probe a class whose mean response time rules out all of its requests

Callers of a class that wait for less than half of its mean response time got 429 for good, on idle servers: from the start, if they wait for less than a tenth of the latency objective, or after servers had not responded for a time.

Cause: only an attempt corrects the mean, and the mean allowed none.

Change: after a second in which the mean ruled out requests and no attempt ended, one request a second is sent as a probe; its response time replaces the mean.

Evidence: the new test in tests/policy/retries.rs found no forwarded request before; now the first after a second.

--- a/src/policy/gateway.rs
+++ b/src/policy/gateway.rs
@@ -1,5 +1,6 @@
 //! The state of a gateway, and the routing of each event to the code that handles it.
 
+use super::class_latency::ClassLatency;
 use super::concurrency_limit::ConcurrencyLimit;
 use super::counter_health::CounterHealth;
 use super::counter_key::KeyOwner;
@@ -38,8 +39,8 @@
     pub(super) requests: BTreeMap<RequestId, TrackedRequest>,
     /// Requests that are waiting to be forwarded.
     pub(super) queue: BTreeSet<RequestId>,
-    /// Mean response time of each class, ms, indexed by [`ClassId`](crate::ids::ClassId).
-    pub(super) class_latency: Vec<Millis>,
+    /// Mean response time of each class, indexed by [`ClassId`](crate::ids::ClassId).
+    pub(super) class_latency: Vec<ClassLatency>,
     pub(super) concurrency: ConcurrencyLimit,
     pub(super) retry_budget: RetryBudget,
     pub(super) send_rate: SendRate,
@@ -55,7 +56,7 @@
         let initial_latency =
             settings.classes.iter().map(|class| class.latency_objective / INITIAL_LATENCY_DIVISOR);
         Gateway {
-            class_latency: initial_latency.collect(),
+            class_latency: initial_latency.map(ClassLatency::new).collect(),
             selector: EndpointSelector::new(salt, SlowStart::new(&settings)),
             counter_health: CounterHealth::new(settings.counter_timeout),
             settings,
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -12,6 +12,7 @@
 mod batched_usage;
 mod candidate_set;
 mod ceiling;
+mod class_latency;
 mod concurrency_limit;
 mod counter_calls;
 mod counter_health;
--- a/src/policy/request_lifecycle.rs
+++ b/src/policy/request_lifecycle.rs
@@ -2,6 +2,7 @@
 //! client disconnects first.
 
 use super::admission::{admit, Admission};
+use super::class_latency::ClassLatency;
 use super::disposition::Disposition;
 use super::gateway::Gateway;
 use super::housekeeping::HOUSEKEEPING_INTERVAL;
@@ -12,16 +13,14 @@
 use crate::event::{Outcome, Request};
 use crate::ids::{ClassId, Millis, RequestId};
 
-/// Weight of a new response time in the moving average of its class.
-const CLASS_LATENCY_GAIN: f64 = 0.03;
-/// A request with at least this share of its class's latency objective left never arrives too late. Only
-/// attempts correct the mean response time of the class, so a mean that ruled out every request would stay.
+/// A request with at least this share of its class's latency objective left never arrives too late, whatever
+/// the mean response time of the class.
 const TIMELY_SHARE: f64 = 0.9;
 
 impl Gateway {
     /// Mean response time of a class, ms; 0 if the class is unknown.
     pub(super) fn class_latency(&self, class: ClassId) -> Millis {
-        self.class_latency.get(class.0).copied().unwrap_or(0.0)
+        self.class_latency.get(class.0).map_or(0.0, ClassLatency::mean)
     }
 
     /// Number of servers divided by the number of gateways in the fleet.
@@ -57,14 +56,21 @@
         self.sync_counter(now, tenant_id);
     }
 
-    /// Whether a request arrives too close to its latency objective to be forwarded or queued: less than half
-    /// the mean response time or less than one housekeeping interval before the objective. A queued request
-    /// could run out of time before the next housekeeping run, and would then get no answer. A mean response
-    /// time of almost twice the latency objective or more has no further effect (see [`TIMELY_SHARE`]).
-    fn arrived_too_late(&self, now: Millis, tracked: &TrackedRequest) -> bool {
-        let half_response_time = self.class_latency(tracked.request.class) / 2.0;
-        let timely = TIMELY_SHARE * tracked.class.latency_objective;
-        tracked.objective_at - now < half_response_time.min(timely).max(HOUSEKEEPING_INTERVAL)
+    /// Whether a request arrives too close to its latency objective to be forwarded or queued: less than one
+    /// housekeeping interval before the objective, or less than half the mean response time of its class. A
+    /// queued request could run out of time before the next housekeeping run, and would then get no answer.
+    /// The mean alone does not rule out a request with almost all of its time left, nor a probe (see
+    /// [`ClassLatency::rules_out`]).
+    fn arrived_too_late(&mut self, now: Millis, tracked: &TrackedRequest) -> bool {
+        let time_left = tracked.objective_at - now;
+        if time_left < HOUSEKEEPING_INTERVAL {
+            return true;
+        }
+        if time_left >= TIMELY_SHARE * tracked.class.latency_objective {
+            return false;
+        }
+        let class_latency = self.class_latency.get_mut(tracked.request.class.0);
+        class_latency.is_some_and(|latency| latency.rules_out(now, time_left))
     }
 
     /// Creates the state of the request's tenant if there is none, and sets the time of the tenant's last
@@ -208,8 +214,8 @@
         let servers_per_gateway = self.servers_per_gateway();
         let subset_active = self.selector.subset_active();
         self.concurrency.record_latency(now, latency, objective, servers_per_gateway, subset_active);
-        if let Some(mean) = self.class_latency.get_mut(class.0) {
-            *mean += CLASS_LATENCY_GAIN * (latency - *mean);
+        if let Some(class_latency) = self.class_latency.get_mut(class.0) {
+            class_latency.record(latency);
         }
     }
 
--- a/tests/policy/retries.rs
+++ b/tests/policy/retries.rs
@@ -101,3 +101,35 @@
     }
     assert_eq!(forwarded, 100, "{forwarded} of 100 requests were forwarded after the servers recovered");
 }
+
+/// Regression test for a class that was rejected on arrival for good. Its clients wait for less than a tenth of
+/// its latency objective, which is less than half of the mean response time that is assumed at the start. A
+/// request has to be sent as a probe, because only the end of an attempt corrects the mean.
+#[test]
+fn a_class_whose_clients_wait_for_a_short_time_is_forwarded_after_a_probe() {
+    const TIME_LEFT: f64 = 45.0;
+    const RESPONSE_TIME: f64 = 10.0;
+    let mut rig = Rig::new(Settings { fleet_gateway_count: 1.0, ..settings() }, 6);
+    let mut forwarded_at = Vec::new();
+    for step in 0..100 {
+        let now = 1000.0 + 100.0 * f64::from(step);
+        let id = RequestId(step);
+        let tenant = TenantId(u64::from(step));
+        let request = Request {
+            id,
+            tenant,
+            units: 1.0,
+            time_left: TIME_LEFT,
+            gateway_count: 2.0,
+            ..Request::default()
+        };
+        let actions = rig.handle(now, Event::Request(request));
+        let Some(server) = actions.forwarded_to() else { continue };
+        forwarded_at.push(now);
+        let elapsed = now + RESPONSE_TIME;
+        rig.handle(elapsed, attempt_ended(id, 0, server, Outcome::Ok, RESPONSE_TIME));
+    }
+    let first = *forwarded_at.first().expect("no request was forwarded");
+    assert!(first <= 2000.0, "the first request was forwarded at {first} ms");
+    assert!(forwarded_at.len() >= 90, "{} of 100 requests were forwarded", forwarded_at.len());
+}
