Let probes wait in the queue although the mean response time rules it out

Callers of low-traffic tenants got 429 for good after all servers had not responded for some seconds, while other tenants were served.

Cause: each of their requests waits for its reservation, and a request may wait only if twice the mean response time of its class fits. Time-outs raised the mean beyond that, and only an attempt corrects it.

Evidence: the new test in tests/policy/retries.rs forwarded 0 of 100 requests before, 80 or more now.

--- a/src/policy/class_latency.rs
+++ b/src/policy/class_latency.rs
@@ -8,6 +8,15 @@
 /// class ends. Without such probes the mean could stay wrong for good, because only attempts correct it.
 const PROBE_INTERVAL: Millis = 1000.0;
 
+/// Whether a request has enough time for a number of mean response times.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum TimeCheck {
+    Enough,
+    /// The request has too little time, but is to be sent as a probe.
+    Probe,
+    TooLittle,
+}
+
 /// Moving average of the response times of one class.
 pub(super) struct ClassLatency {
     mean: Millis,
@@ -34,18 +43,17 @@
         self.probing = false;
     }
 
-    /// Whether a request with `time_left` has too little time, which is less than half the mean. Returns false
-    /// for a request that is to be sent as a probe.
-    pub(super) fn rules_out(&mut self, now: Millis, time_left: Millis) -> bool {
-        if time_left >= self.mean / 2.0 {
-            return false;
+    /// Checks whether `time_left` is enough for `mean_count` mean response times.
+    pub(super) fn check(&mut self, now: Millis, time_left: Millis, mean_count: f64) -> TimeCheck {
+        if time_left >= mean_count * self.mean {
+            return TimeCheck::Enough;
         }
         let since = *self.ruled_out_since.get_or_insert(now);
         if now - since < PROBE_INTERVAL {
-            return true;
+            return TimeCheck::TooLittle;
         }
         self.ruled_out_since = Some(now);
         self.probing = true;
-        false
+        TimeCheck::Probe
     }
 }
--- a/src/policy/request.rs
+++ b/src/policy/request.rs
@@ -35,6 +35,9 @@
     /// flight.
     pub(super) finished: bool,
     pub(super) quota_check: QuotaCheck,
+    /// Whether the request is sent although the mean response time of its class rules it out, to correct that
+    /// mean.
+    pub(super) is_latency_probe: bool,
 }
 
 impl TrackedRequest {
@@ -47,6 +50,7 @@
             response_started: false,
             finished: false,
             quota_check: QuotaCheck::default(),
+            is_latency_probe: false,
             request,
             class,
         }
--- a/src/policy/request_lifecycle.rs
+++ b/src/policy/request_lifecycle.rs
@@ -2,7 +2,7 @@
 //! client disconnects first.
 
 use super::admission::{admit, Admission};
-use super::class_latency::ClassLatency;
+use super::class_latency::{ClassLatency, TimeCheck};
 use super::disposition::Disposition;
 use super::gateway::Gateway;
 use super::housekeeping::HOUSEKEEPING_INTERVAL;
@@ -13,6 +13,10 @@
 use crate::event::{Outcome, Request};
 use crate::ids::{ClassId, Millis, RequestId};
 
+/// Mean response times of its class that a request needs to be forwarded when it arrives.
+const MEANS_TO_FORWARD: f64 = 0.5;
+/// Mean response times of its class that a waiting request needs to stay in the queue.
+const MEANS_TO_WAIT: f64 = 2.0;
 /// A request with at least this share of its class's latency objective left never arrives too late, whatever
 /// the mean response time of the class.
 const TIMELY_SHARE: f64 = 0.9;
@@ -42,7 +46,7 @@
         let tenant_id = request.tenant;
         self.mark_tenant_seen(now, &request);
         let mut tracked = TrackedRequest::new(now, request, class);
-        let arrived_too_late = self.arrived_too_late(now, &tracked);
+        let arrived_too_late = self.arrived_too_late(now, &mut tracked);
         if !arrived_too_late {
             self.reserve_on_counter(now, &mut tracked);
         }
@@ -57,11 +61,10 @@
     }
 
     /// Whether a request arrives too close to its latency objective to be forwarded or queued: less than one
-    /// housekeeping interval before the objective, or less than half the mean response time of its class. A
-    /// queued request could run out of time before the next housekeeping run, and would then get no answer.
-    /// The mean alone does not rule out a request with almost all of its time left, nor a probe (see
-    /// [`ClassLatency::rules_out`]).
-    fn arrived_too_late(&mut self, now: Millis, tracked: &TrackedRequest) -> bool {
+    /// housekeeping interval before the objective, or less than [`MEANS_TO_FORWARD`]. A queued request could
+    /// run out of time before the next housekeeping run, and would then get no answer. The mean alone does not
+    /// rule out a request with almost all of its time left, nor a probe.
+    fn arrived_too_late(&mut self, now: Millis, tracked: &mut TrackedRequest) -> bool {
         let time_left = tracked.objective_at - now;
         if time_left < HOUSEKEEPING_INTERVAL {
             return true;
@@ -70,7 +73,7 @@
             return false;
         }
         let class_latency = self.class_latency.get_mut(tracked.request.class.0);
-        class_latency.is_some_and(|latency| latency.rules_out(now, time_left))
+        class_latency.is_some_and(|latency| rules_out(latency, now, tracked, time_left, MEANS_TO_FORWARD))
     }
 
     /// Creates the state of the request's tenant if there is none, and sets the time of the tenant's last
@@ -105,15 +108,20 @@
     }
 
     /// Whether a waiting request can still meet its latency objective. After the tenant's ceiling has
-    /// refilled enough for the request, twice the mean response time and twice the housekeeping interval have
-    /// to be left.
-    pub(super) fn can_meet_objective(&self, now: Millis, id: RequestId) -> bool {
-        let Some(tracked) = self.requests.get(&id) else { return false };
+    /// refilled enough for the request, [`MEANS_TO_WAIT`] and twice the housekeeping interval have to be left.
+    /// A probe needs only the latter.
+    pub(super) fn can_meet_objective(&mut self, now: Millis, id: RequestId) -> bool {
+        let Some(tracked) = self.requests.get_mut(&id) else { return false };
         let request = &tracked.request;
+        let class = request.class;
         let tenant = self.tenants.get(&request.tenant);
         let ceiling_wait = tenant.map_or(0.0, |tenant| tenant.ceiling.time_until_available(request.units));
-        let required_time = 2.0 * (self.class_latency(request.class) + HOUSEKEEPING_INTERVAL);
-        tracked.objective_at - now >= required_time + ceiling_wait
+        let time_left = tracked.objective_at - now - ceiling_wait - 2.0 * HOUSEKEEPING_INTERVAL;
+        if time_left < 0.0 {
+            return false;
+        }
+        let class_latency = self.class_latency.get_mut(class.0);
+        !class_latency.is_some_and(|latency| rules_out(latency, now, tracked, time_left, MEANS_TO_WAIT))
     }
 
     // ---- Attempts -----------------------------------------------------------------------------
@@ -281,3 +289,20 @@
         }
     }
 }
+
+/// Whether the mean response time of its class rules out a request. Marks a request that is to be sent as a
+/// probe, so that later checks do not rule it out.
+fn rules_out(
+    class_latency: &mut ClassLatency,
+    now: Millis,
+    tracked: &mut TrackedRequest,
+    time_left: Millis,
+    mean_count: f64,
+) -> bool {
+    if tracked.is_latency_probe {
+        return false;
+    }
+    let check = class_latency.check(now, time_left, mean_count);
+    tracked.is_latency_probe = check == TimeCheck::Probe;
+    check == TimeCheck::TooLittle
+}
--- a/tests/policy/retries.rs
+++ b/tests/policy/retries.rs
@@ -1,7 +1,7 @@
 //! Tests of retries for each kind of idempotency, and of requests that no server can accept.
 
-use crate::rig::{settings, Received, Rig};
-use crate::simulation::{attempt_ended, complete_list, ready_endpoint};
+use crate::rig::{large_fleet_settings, settings, Received, Rig};
+use crate::simulation::{attempt_ended, complete_list, counter_answered, ready_endpoint};
 use rate_limiting_gateway::action::Action;
 use rate_limiting_gateway::event::{Endpoint, Event, Outcome, Request};
 use rate_limiting_gateway::ids::{RequestId, TenantId};
@@ -133,3 +133,31 @@
     assert!(first <= 2000.0, "the first request was forwarded at {first} ms");
     assert!(forwarded_at.len() >= 90, "{} of 100 requests were forwarded", forwarded_at.len());
 }
+
+/// Regression test for a class that was rejected for good. Each request of a low-traffic tenant waits for its
+/// reservation. After the servers had stopped responding for some seconds, the mean response time of the class
+/// was too long for any wait, and only an attempt could have corrected the mean.
+#[test]
+fn low_traffic_requests_are_forwarded_again_after_attempts_timed_out() {
+    const TIMEOUT: f64 = 1400.0;
+    let mut rig = Rig::new(large_fleet_settings(4.0, 12.0), 400);
+    let mut now = 1000.0;
+    let mut forward_after_reply = |rig: &mut Rig, tenant: u64, outcome: Outcome, elapsed: f64| {
+        now += 100.0;
+        let request = Request { tenant: TenantId(tenant), gateway_count: 30.0, ..Request::default() };
+        let Received { id, mut actions } = rig.request_like(now, request);
+        if let Some(call) = actions.counter_calls().first() {
+            actions = rig.handle(now + 2.0, counter_answered(call.key, 2.0, call.add));
+        }
+        let Some(server) = actions.forwarded_to() else { return false };
+        now += elapsed;
+        rig.handle(now, attempt_ended(id, 0, server, outcome, elapsed));
+        true
+    };
+    for tenant in 0..50 {
+        forward_after_reply(&mut rig, tenant, Outcome::TimedOut, TIMEOUT);
+    }
+    let forwarded =
+        (50..150).filter(|tenant| forward_after_reply(&mut rig, *tenant, Outcome::Ok, 20.0)).count();
+    assert!(forwarded >= 80, "{forwarded} of 100 requests were forwarded after the servers recovered");
+}
