Refill the ceiling of a plan without a rate

Tenants of a plan with a ceiling and no rate would get 429 for each request (README "Open"; no known deployment has such a plan).

Cause: Tenant::advance_to and Tenant::record, which also keep the bucket of the ceiling, were called for plans with a quota only, and the bucket starts empty.

Evidence: the new test in tests/policy/quota.rs forwarded 0 requests before; now the ceiling is used to 0.9 and not exceeded.

--- a/src/policy/admission.rs
+++ b/src/policy/admission.rs
@@ -25,7 +25,7 @@
 /// draws for every decision. Only tenants that are counted in batches are checked against their plan's limit
 /// on attempts in flight.
 pub(super) fn admit(now: Millis, tracked: &mut TrackedRequest, tenant: &mut Tenant, roll: f64) -> Admission {
-    if tenant.has_quota() {
+    if tenant.is_limited() {
         tenant.advance_to(now);
     }
     let units = tracked.request.units;
--- a/src/policy/request_lifecycle.rs
+++ b/src/policy/request_lifecycle.rs
@@ -143,7 +143,7 @@
         self.concurrency.attempt_started();
         if let Some(tenant) = self.tenants.get_mut(&tracked.request.tenant) {
             tenant.attempt_started();
-            if is_first_attempt && tenant.has_quota() {
+            if is_first_attempt && tenant.is_limited() {
                 let units = tracked.request.units;
                 tenant.record(now, Disposition::Forwarded, units, self.counter_health.max_cache_age());
                 if let Usage::LowTraffic(usage) = &mut tenant.usage {
--- a/src/policy/tenant.rs
+++ b/src/policy/tenant.rs
@@ -83,21 +83,30 @@
         self.plan.rate > 0.0
     }
 
+    /// Whether the plan has a quota or a ceiling.
+    pub(super) fn is_limited(&self) -> bool {
+        self.has_quota() || self.plan.ceiling_rate > 0.0
+    }
+
     pub(super) fn mark_seen(&mut self, now: Millis) {
         self.last_seen = now;
     }
 
-    /// Advances the sliding window and refills the token buckets up to `now`.
+    /// Advances the sliding window of the quota, if there is one, and refills the token buckets up to `now`.
     pub(super) fn advance_to(&mut self, now: Millis) {
         let seconds = (now - self.refilled_at).max(0.0) / 1000.0;
         self.refilled_at = now;
+        let has_quota = self.has_quota();
         if let Usage::Batched(usage) = &mut self.usage {
-            usage.advance_to(now, seconds);
+            if has_quota {
+                usage.advance_to(now, seconds);
+            }
         }
         self.ceiling.refill(seconds);
     }
 
-    /// Counts the units of a request that this gateway forwarded or did not forward. For `max_cache_age` see
+    /// Counts the units of a request that this gateway forwarded or did not forward, against the quota and the
+    /// ceiling that the plan has. For `max_cache_age` see
     /// [`CounterHealth::max_cache_age`](super::counter_health::CounterHealth::max_cache_age).
     pub(super) fn record(
         &mut self,
@@ -109,8 +118,11 @@
         if disposition == Disposition::Forwarded {
             self.ceiling.spend(units);
         }
+        let has_quota = self.has_quota();
         if let Usage::Batched(usage) = &mut self.usage {
-            usage.record(now, disposition, units, max_cache_age);
+            if has_quota {
+                usage.record(now, disposition, units, max_cache_age);
+            }
         }
     }
 
--- a/tests/policy/quota.rs
+++ b/tests/policy/quota.rs
@@ -181,3 +181,36 @@
     };
     assert_eq!(run(), run());
 }
+
+/// Regression test for a plan whose requests were never forwarded: its ceiling was refilled only for tenants
+/// with a quota. The ceiling also has to hold, over the whole time and from the start.
+#[test]
+fn a_plan_with_a_ceiling_and_no_rate_is_forwarded_up_to_its_ceiling() {
+    const CEILING_RATE: f64 = 20.0;
+    const CEILING_BURST: f64 = 30.0;
+    const SECONDS: f64 = 30.0;
+    let plan = Plan {
+        ceiling_rate: CEILING_RATE,
+        ceiling_burst: CEILING_BURST,
+        priority_multiplier: 1.0,
+        ..Plan::default()
+    };
+    let mut rig = Rig::new(Settings { plans: vec![plan], fleet_gateway_count: 1.0, ..settings() }, 6);
+    let mut forwarded = 0;
+    let mut now = 0.0;
+    while now < SECONDS * 1000.0 {
+        now += 10.0;
+        let request = Request { gateway_count: 1.0, ..Request::default() };
+        let Received { actions, .. } = rig.request_like(now, request);
+        let mut pending = actions.0;
+        pending.extend(rig.timer(now + 5.0).0);
+        while let Some(action) = pending.pop() {
+            let Action::Forward { id, server, .. } = action else { continue };
+            forwarded += 1;
+            pending.extend(rig.end_attempt(now + 6.0, id, server, Outcome::Ok).0);
+        }
+    }
+    let ceiling = CEILING_RATE * SECONDS + CEILING_BURST;
+    assert!(f64::from(forwarded) <= ceiling, "{forwarded} requests were forwarded, {ceiling} at most");
+    assert!(f64::from(forwarded) >= 0.9 * CEILING_RATE * SECONDS, "{forwarded} of {ceiling} were forwarded");
+}
