Limit the pause of a gateway whose concurrency limit is below one attempt

A gateway of a large fleet with few servers would answer 429 for up to a minute after the servers have recovered from not responding.

Cause: a limit below one is enforced by a pause of latency * (1 / limit - 1) after each attempt: 48 s after a time-out of 2 s with 500 gateways and 10 servers. Only the next attempt shows that the servers respond.

Change: a pause lasts 5 s at most.

Evidence: the new test in tests/policy/endpoints.rs found no forwarded request 6 s after a time-out before, one now.

--- a/src/policy/concurrency_limit.rs
+++ b/src/policy/concurrency_limit.rs
@@ -21,6 +21,10 @@
 /// Hedged requests may be sent while less than this share of the limit is in use.
 const HEDGE_UTILIZATION: f64 = 0.8;
 
+/// Upper bound, ms, of the pause after an attempt. Without it, one attempt that timed out would keep a gateway
+/// with a limit far below one attempt from noticing for a minute that the servers respond again.
+const MAX_PAUSE: Millis = 5000.0;
+
 /// How strongly one response time changes the mean latency ratio and the limit.
 struct Gains {
     /// Weight of a sample in the mean latency ratio.
@@ -47,7 +51,7 @@
     /// The time before which no further attempt may start. Such pauses enforce a limit below one attempt; a
     /// higher limit needs none.
     fn paused_until(&self, limit: f64) -> Millis {
-        self.ended_at + self.latency * (1.0 / limit - 1.0)
+        self.ended_at + (self.latency * (1.0 / limit - 1.0)).min(MAX_PAUSE)
     }
 }
 
--- a/tests/policy/endpoints.rs
+++ b/tests/policy/endpoints.rs
@@ -185,3 +185,20 @@
     let forwarded = forwarded_of_requests(&mut rig, 4600.0, 20);
     assert_eq!(forwarded, 20, "{forwarded} of 20 requests were forwarded after the list had returned");
 }
+
+/// Regression test: with 500 gateways and 10 servers, a gateway's lowest limit is 0.04 attempts, and the pause
+/// after an attempt that took 2 s would be 48 s, in which the gateway cannot notice that the servers respond.
+#[test]
+fn a_gateway_with_far_fewer_servers_than_gateways_tries_again_within_seconds() {
+    let mut rig = gateway_of_large_fleet(5, 10);
+    let mut now = 1000.0;
+    for _ in 0..100 {
+        now += 1000.0;
+        let Received { id, actions } = rig.request_like(now, large_fleet_request());
+        let Some(server) = actions.forwarded_to() else { continue };
+        now += 2000.0;
+        rig.handle(now, attempt_ended(id, 0, server, Outcome::TimedOut, 2000.0));
+    }
+    let forwarded = forwarded_of_requests(&mut rig, now + 6000.0, 1);
+    assert_eq!(forwarded, 1, "no request was forwarded 6 s after an attempt had timed out");
+}
