Check the repeat window again before the first byte of a further attempt

Cause: only the policy checked the window, when it starts the attempt, and opening the connection can take up to the connect time-out after that.

Change: EventLoop::check_may_begin, which runs before the first byte, checks the window too; the attempt then ends as not sent.

--- a/src/net/event_loop.rs
+++ b/src/net/event_loop.rs
@@ -266,7 +266,9 @@
     pub fn submit(self: &Rc<Self>, incoming: IncomingRequest) -> (RequestId, oneshot::Receiver<Answer>) {
         let IncomingRequest { mut request, forwarded_request, client } = incoming;
         let deadline = self.now() + request.time_left;
-        let (pending, answer) = PendingRequest::new(forwarded_request, client, deadline);
+        let class = self.settings.classes.get(request.class.0);
+        let repeat_window = class.and_then(|class| class.idempotency.repeat_window());
+        let (pending, answer) = PendingRequest::new(forwarded_request, client, deadline, repeat_window);
         let id = self.requests.borrow_mut().insert(pending);
         self.timers.arm(deadline - DEADLINE_MARGIN, TimerKind::Deadline(id));
         request.id = id;
@@ -389,8 +391,8 @@
         &self.pool
     }
 
-    fn check_may_begin(&self, id: RequestId, server: ServerId) -> Result<(), Outcome> {
-        EventLoop::check_may_begin(self, id, server)
+    fn check_may_begin(&self, id: RequestId, attempt_number: u8, server: ServerId) -> Result<(), Outcome> {
+        EventLoop::check_may_begin(self, id, attempt_number, server)
     }
 
     fn accepts_requests(&self, server: ServerId) -> bool {
--- a/src/net/event_loop/attempts.rs
+++ b/src/net/event_loop/attempts.rs
@@ -80,21 +80,30 @@
     /// to the policy.
     ///
     /// The check is made before a connection is obtained, and again just before the first byte of the attempt
-    /// is written. Between the two checks the server may have begun to drain or the client may have
-    /// disconnected, and not every deployment lets the policy cancel attempts.
+    /// is written. Between the two checks the server may have begun to drain, the client may have disconnected,
+    /// or the time in which the servers know the request's idempotency key may have ended, and not every
+    /// deployment lets the policy cancel attempts.
     ///
     /// The check reads the state of the client's socket directly. On a busy machine hundreds of tasks may run
     /// before the task that reports the client's disconnect, and each of them may begin an attempt.
     ///
     /// # Errors
     /// Returns the outcome of the attempt if the attempt may not begin.
-    pub fn check_may_begin(self: &Rc<Self>, id: RequestId, server: ServerId) -> Result<(), Outcome> {
+    pub fn check_may_begin(
+        self: &Rc<Self>,
+        id: RequestId,
+        number: u8,
+        server: ServerId,
+    ) -> Result<(), Outcome> {
         let client = self.requests.borrow().waiting_client(id);
         let client = client.ok_or(Outcome::NotSent)?;
         if client.upgrade().is_none_or(|client| is_closed_by_peer(&client)) {
             self.client_disconnected(id);
             return Err(Outcome::NotSent);
         }
+        if !self.requests.borrow().is_in_repeat_window(AttemptId { request: id, number }, self.now()) {
+            return Err(Outcome::NotSent);
+        }
         // An attempt to a draining server ends as if the server were unreachable.
         if self.accepts_requests(server) {
             Ok(())
--- a/src/net/request_table.rs
+++ b/src/net/request_table.rs
@@ -48,6 +48,9 @@
     pub client: Weak<TcpStream>,
     /// The Unix time, ms, at which the client stops waiting.
     pub deadline: Millis,
+    /// Time, ms, from the start of the first attempt that a server may have executed, after which no further
+    /// attempt may begin. `None` if there is no such limit.
+    repeat_window: Option<Millis>,
     attempts: Vec<Attempt>,
 }
 
@@ -55,6 +58,8 @@
     server: ServerId,
     started_at: Millis,
     in_flight: bool,
+    /// Whether a server may have executed the attempt. True until the outcome shows that none has.
+    may_have_executed: bool,
     /// The task that makes the attempt. `None` if no task has been started, or if the end of the attempt must
     /// not abort the task.
     task: Option<AbortHandle>,
@@ -62,10 +67,13 @@
 
 impl PendingRequest {
     /// Creates a request without attempts. Also returns the channel on which its final answer arrives.
+    /// `repeat_window` is the time for which the servers remember the request's idempotency key, ms, or `None`
+    /// if the time of a further attempt is not limited.
     pub fn new(
         forwarded_request: ForwardedRequest,
         client: Weak<TcpStream>,
         deadline: Millis,
+        repeat_window: Option<Millis>,
     ) -> (Self, oneshot::Receiver<Answer>) {
         let (responder, answer) = oneshot::channel();
         let request = PendingRequest {
@@ -73,6 +81,7 @@
             forwarded_request: Rc::new(forwarded_request),
             client,
             deadline,
+            repeat_window,
             attempts: Vec::new(),
         };
         (request, answer)
@@ -88,7 +97,13 @@
     /// number.
     pub fn start_attempt(&mut self, server: ServerId, now: Millis) -> Option<u8> {
         let number = u8::try_from(self.attempts.len()).ok();
-        self.attempts.push(Attempt { server, started_at: now, in_flight: true, task: None });
+        self.attempts.push(Attempt {
+            server,
+            started_at: now,
+            in_flight: true,
+            may_have_executed: true,
+            task: None,
+        });
         number
     }
 
@@ -99,6 +114,15 @@
         }
     }
 
+    /// Whether an attempt may begin at `now`, as far as the repeat window is concerned. The window begins with
+    /// the first earlier attempt that a server may have executed.
+    fn is_in_repeat_window(&self, attempt: u8, now: Millis) -> bool {
+        let Some(window) = self.repeat_window else { return true };
+        let mut earlier_attempts = self.attempts.iter().take(usize::from(attempt));
+        let first = earlier_attempts.find(|earlier| earlier.may_have_executed);
+        first.is_none_or(|first| now - first.started_at < window)
+    }
+
     /// Whether the request can be removed from the table.
     fn is_finished(&self) -> bool {
         self.is_complete() && self.attempts.iter().all(|attempt| !attempt.in_flight)
@@ -135,6 +159,12 @@
         Some(request.client.clone())
     }
 
+    /// Whether an attempt may begin at `now` without being executed again by servers that have forgotten the
+    /// request's idempotency key. False if the request is unknown.
+    pub fn is_in_repeat_window(&self, id: AttemptId, now: Millis) -> bool {
+        self.requests.get(&id.request).is_some_and(|request| request.is_in_repeat_window(id.number, now))
+    }
+
     /// The ids of all requests that are not complete.
     pub fn incomplete_ids(&self) -> impl Iterator<Item = RequestId> + '_ {
         self.requests.iter().filter(|(_, request)| !request.is_complete()).map(|(id, _)| *id)
@@ -185,6 +215,7 @@
         let complete = self.requests.get(&id.request)?.is_complete();
         let attempt = self.attempt_mut(id).filter(|attempt| attempt.in_flight)?;
         attempt.in_flight = false;
+        attempt.may_have_executed = outcome.may_have_executed();
         if let Some(task) = attempt.task.take() {
             task.abort();
         }
--- a/src/net/upstream/attempt.rs
+++ b/src/net/upstream/attempt.rs
@@ -23,7 +23,7 @@
     ///
     /// # Errors
     /// The outcome of the attempt if it may not begin.
-    fn check_may_begin(&self, id: RequestId, server: ServerId) -> Result<(), Outcome>;
+    fn check_may_begin(&self, id: RequestId, attempt_number: u8, server: ServerId) -> Result<(), Outcome>;
 
     /// Whether new requests may be sent to a server; false, for example, for a draining server.
     fn accepts_requests(&self, server: ServerId) -> bool;
@@ -121,7 +121,7 @@
     loop {
         // Checked before a connection is taken or opened, because an attempt that ends without sending its
         // request closes the connection that it has obtained.
-        if let Err(outcome) = owner.check_may_begin(spec.id, spec.server) {
+        if let Err(outcome) = owner.check_may_begin(spec.id, spec.number, spec.server) {
             return AttemptResult::without_body(outcome);
         }
         let (mut connection, source) = match obtain_connection(owner, spec).await {
@@ -135,9 +135,10 @@
             // while it was idle. The attempt continues with another connection.
             Err(_) if source == ConnectionSource::Pool => continue,
             Err(SendError::Closed) => Outcome::ConnectFailed,
-            Err(SendError::NothingWritten) => {
-                owner.check_may_begin(spec.id, spec.server).err().unwrap_or(Outcome::ConnectFailed)
-            }
+            Err(SendError::NothingWritten) => owner
+                .check_may_begin(spec.id, spec.number, spec.server)
+                .err()
+                .unwrap_or(Outcome::ConnectFailed),
         };
         return AttemptResult::without_body(outcome);
     }
@@ -161,8 +162,9 @@
     connection: &mut Connection,
 ) -> Result<Response<Incoming>, SendError> {
     connection.sender.ready().await.map_err(|_| SendError::Closed)?;
-    let (owner_for_check, id, server) = (owner.clone(), spec.id, spec.server);
-    connection.exchange.begin(Box::new(move || owner_for_check.check_may_begin(id, server).is_ok()));
+    let (owner_for_check, id, number, server) = (owner.clone(), spec.id, spec.number, spec.server);
+    let may_begin = move || owner_for_check.check_may_begin(id, number, server).is_ok();
+    connection.exchange.begin(Box::new(may_begin));
     // Computed after the connection is open, because opening it may have used much of the attempt's time.
     let time_left = spec.timeout_at - owner.now();
     let request = spec.forwarded_request.to_upstream(spec.address, time_left);
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -22,6 +22,17 @@
     NonIdempotent,
 }
 
+impl Idempotency {
+    /// Time, ms from the start of the first attempt that a server may have executed, in which further attempts
+    /// may begin. `None` if the time is not limited.
+    pub fn repeat_window(self) -> Option<Millis> {
+        match self {
+            Idempotency::IdempotencyKey { window, .. } => Some(window),
+            Idempotency::Idempotent | Idempotency::NonIdempotent => None,
+        }
+    }
+}
+
 /// The group of servers that share the idempotency keys that they have seen.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum DeduplicationScope {
--- a/tests/unit/request_table.rs
+++ b/tests/unit/request_table.rs
@@ -3,6 +3,9 @@
 use super::*;
 use hyper::{HeaderMap, Method, Uri};
 
+/// Time for which the servers remember the idempotency key of a request, ms.
+const REPEAT_WINDOW: Millis = 500.0;
+
 fn pending_request() -> (PendingRequest, oneshot::Receiver<Answer>) {
     let forward = ForwardedRequest {
         method: Method::GET,
@@ -10,7 +13,7 @@
         headers: HeaderMap::new(),
         body: Bytes::new(),
     };
-    PendingRequest::new(forward, Weak::new(), 1000.0)
+    PendingRequest::new(forward, Weak::new(), 1000.0, Some(REPEAT_WINDOW))
 }
 
 fn start_attempt(table: &mut RequestTable, id: RequestId) -> AttemptId {
@@ -57,3 +60,28 @@
     table.next_id = u32::MAX;
     assert_eq!(table.insert(pending_request().0), RequestId(1));
 }
+
+/// A further attempt whose connection opens late must not begin after the servers have forgotten the request's
+/// idempotency key. Attempts that were certainly not executed do not count.
+#[test]
+fn a_further_attempt_begins_only_within_the_repeat_window_of_the_first_that_may_have_run() {
+    let mut table = RequestTable::default();
+    let id = table.insert(pending_request().0);
+    let refused = start_attempt(&mut table, id);
+    assert!(table.is_in_repeat_window(refused, 10_000.0), "the first attempt was limited by the window");
+    table.end_attempt(refused, Outcome::ConnectFailed, 20.0);
+    let started = |table: &mut RequestTable, at: Millis| {
+        let request = table.get_mut(id).expect("the request is not in the table");
+        let number = request.start_attempt(ServerId(1), at).expect("the attempt got no number");
+        AttemptId { request: id, number }
+    };
+    let executed = started(&mut table, 300.0);
+    assert!(
+        table.is_in_repeat_window(executed, 10_000.0),
+        "an attempt that was not executed began the window"
+    );
+    table.end_attempt(executed, Outcome::Reset, 400.0);
+    let further = started(&mut table, 500.0);
+    assert!(table.is_in_repeat_window(further, 300.0 + REPEAT_WINDOW - 1.0), "the window ended too early");
+    assert!(!table.is_in_repeat_window(further, 300.0 + REPEAT_WINDOW), "the window did not end");
+}
--- a/tests/upstream_attempts.rs
+++ b/tests/upstream_attempts.rs
@@ -94,6 +94,50 @@
     }
 }
 
+/// Regression test: the connection for a further attempt opens only after the servers have forgotten the
+/// request's idempotency key. If the request were sent on it, it would be executed a second time.
+#[test]
+fn nothing_is_sent_on_a_connection_that_opens_after_the_repeat_window() {
+    const REPEAT_WINDOW: Duration = Duration::from_secs(3);
+    let gate = Gate::default();
+    let server_gate = gate.clone();
+    let first = Server::start(move |_| {
+        server_gate.wait();
+        StubResponse::Close(Vec::new())
+    });
+    let (unreachable, ok) = (UnreachableServer::new(), Server::ok());
+    let (mut setup, discovery, _counter) =
+        start_stubs(&[endpoint_entry("s-00000001", first.address, "Ready")]);
+    setup.connect_timeout = 60_000.0;
+    let mut config: serde_json::Value = serde_json::from_str(&setup.config()).expect("a configuration");
+    for (key, milliseconds) in [("repeat_window", 3000), ("goal_time", 20_000), ("deadline", 30_000)] {
+        config["settings"]["classes"][1][key] = milliseconds.into();
+    }
+    setup.settings = Some(config["settings"].clone());
+    let gateway = setup.start();
+    eventually("the gateway watches the endpoint list", || discovery.watch_count() == 1);
+    let mut client = gateway.client();
+    client.send("POST", "book", "X-Time-Left: 25\r\nIdempotency-Key: 5c0f6e\r\n", b"{}");
+    let sent_at = Instant::now();
+    eventually("the first server gets the request", || first.request_count() == 1);
+    let draining = endpoint_entry("s-00000001", first.address, "Terminating");
+    let ready = endpoint_entry("s-00000002", ok.address, "Ready");
+    discovery.write(&(endpoint_list(2, false, &[draining, ready]) + "\n"));
+    eventually("the gateway uses the second server", || gateway.client().get_idempotent().status() == 200);
+    let gone = endpoint_entry("s-00000002", ok.address, "Gone");
+    let late = endpoint_entry("s-00000003", unreachable.address, "Ready");
+    discovery.write(&(endpoint_list(3, false, &[gone, late]) + "\n"));
+    ok.idle_before_close.recv_timeout(WAIT_TIMEOUT).expect("the second server is still used");
+    // The first attempt ends without a response, and the gateway opens a connection to the third server.
+    gate.open();
+    std::thread::sleep((REPEAT_WINDOW + Duration::from_millis(100)).saturating_sub(sent_at.elapsed()));
+    let (bytes_received, closed) = unreachable.accept_and_count();
+    eventually("the gateway closes the connection after it has opened", || closed.load(Ordering::SeqCst) > 0);
+    let status = client.read().map(|m| m.status());
+    assert_eq!(bytes_received.load(Ordering::SeqCst), 0, "bytes sent after the window; status {status:?}");
+    assert!(matches!(status, Some(429 | 502)), "unexpected status {status:?}");
+}
+
 /// Connections to a server do not open within the connect timeout. The attempts on that server fail without
 /// having been executed and are retried on another server. Nothing may be sent on connections that open
 /// later.
