--- a/src/net/discovery/requests.rs
+++ b/src/net/discovery/requests.rs
@@ -35,7 +35,7 @@
     fn path(self) -> String {
         match self {
             Request::CompleteList => "/v1/servers".to_owned(),
-            Request::Watch { since } => format!("/v1/servers?follow=1&since={since}"),
+            Request::Watch { since: revision } => format!("/v1/servers?follow=1&since={revision}"),
         }
     }
 
