Move the registration and answering of requests out of event_loop.rs

The code in src/net/event_loop/requests.rs is moved unchanged; only the visibility of three items differs.

--- a/src/net/event_loop/attempts.rs
+++ b/src/net/event_loop/attempts.rs
@@ -1,7 +1,8 @@
 //! The part of the event loop that starts attempts, checks whether they may begin, and reports to the policy
 //! how they ended.
 
-use super::{Answer, EventLoop, RESPONSE_MARGIN};
+use super::requests::RESPONSE_MARGIN;
+use super::{Answer, EventLoop};
 use crate::event::{Event, Outcome};
 use crate::ids::{Millis, RequestId, ServerId};
 use crate::net::request_table::{AttemptId, PendingRequest};
