--- a/review/standins-2/common.rs
+++ b/review/standins-2/common.rs
@@ -771,6 +771,16 @@
     NotSent,
 }
 
+impl End {
+    /// The status of the answer, or how the request ended without one.
+    pub fn short(&self) -> String {
+        match self {
+            End::Answer(status, _) => format!("{status}"),
+            other => format!("{other:?}"),
+        }
+    }
+}
+
 #[derive(Clone, Debug)]
 pub struct Request {
     pub id: String,
@@ -988,6 +998,8 @@
     pub agents: Vec<Agent>,
     pub limiters: Vec<Limiter>,
     addresses: Vec<SocketAddr>,
+    /// The limit on descriptors that the configuration states.
+    pub sockets: usize,
 }
 
 impl Deployment {
@@ -1007,6 +1019,7 @@
             addresses: (0..limiters).map(|_| free_address()).collect(),
             servers,
             members,
+            sockets: 1024,
         }
     }
 
@@ -1018,7 +1031,7 @@
             counter: self.counter.address,
             known,
             settings: settings(self.agents.len()),
-            sockets: 1024,
+            sockets: self.sockets,
             memory_mb: 192,
         }
         .json()
