--- a/review/standins-2/common.rs
+++ b/review/standins-2/common.rs
@@ -120,17 +120,27 @@
     }
 }
 
-/// Kills every process that the case has started and that has not been waited for, and deletes the temporary
-/// folder.
+/// Kills every process that the case has started and that has not been waited for, waits until they have ended, and
+/// deletes the temporary folder.
 pub fn end_processes() {
-    for pid in lock(&PIDS).drain(..) {
-        send_signal(pid, SIGKILL);
+    let pids: Vec<i32> = lock(&PIDS).drain(..).collect();
+    pids.iter().for_each(|pid| send_signal(*pid, SIGKILL));
+    let until = now() + 2.0;
+    while pids.iter().any(|pid| is_running(*pid)) && now() < until {
+        sleep_ms(5);
     }
     if let Some(folder) = lock(&TEMPORARY).take() {
         let _ = std::fs::remove_dir_all(folder);
     }
 }
 
+/// Whether a process exists and has not ended; a process that has ended and was not waited for is a zombie.
+fn is_running(pid: i32) -> bool {
+    let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).unwrap_or_default();
+    let state = stat.rsplit(')').next().and_then(|rest| rest.trim_start().chars().next());
+    state.is_some_and(|state| state != 'Z' && state != 'X')
+}
+
 /// The command of the key in the deploy file.
 pub fn deploy_command(key: &str) -> String {
     let text = std::fs::read_to_string("deploy/balancer.toml")
