Open the watch at a new discovery agent at once and pace requests to a slow one

Cause: switch_agent dropped the known revision, so that the complete list was requested first and the watch only after it. Meanwhile the list was requested again every 0.55 to 0.75 s; an agent that works on closed requests too got to the watch only behind them, and the gateway had closed it after 6 s by then.

Change: the new agent gets a watch from the known revision at once, and its complete list is read beside the watch; an earlier revision there reopens the watch. After a late list, watch requests are no faster than the list was.

--- a/src/net/discovery/error.rs
+++ b/src/net/discovery/error.rs
@@ -41,6 +41,12 @@
     InvalidList(serde_json::Error),
     /// An entry of an incremental list could not be decoded.
     InvalidEntry,
+    /// The watch was opened for the changes after a revision of another agent, and the agent's complete list
+    /// has an earlier revision. The watch may therefore omit changes.
+    EarlierRevision {
+        /// The revision of the agent's complete list.
+        revision: u64,
+    },
 }
 
 impl Display for DiscoveryError {
@@ -65,6 +71,9 @@
             DiscoveryError::InvalidEntry => {
                 f.write_str("an entry of an incremental list could not be decoded")
             }
+            DiscoveryError::EarlierRevision { revision } => {
+                write!(f, "the agent's list has revision {revision}, which is earlier than the known one")
+            }
         }
     }
 }
--- a/src/net/discovery/requests.rs
+++ b/src/net/discovery/requests.rs
@@ -4,9 +4,15 @@
 //! because it was down. The gateway cannot tell the two apart. A slow agent needs time, and after an outage
 //! only a new request is answered. The gateway therefore sends a further request when one is overdue, keeps
 //! the earlier ones open, and uses the first response that arrives.
+//!
+//! An agent at which requests wait in turn also works on requests that have been closed. If a complete list
+//! arrived late, further requests for the list may still be in its queue, and the request for the watch waits
+//! behind them. The gateway then sends requests for the watch no faster than the agent has answered, and
+//! leaves the oldest of them open until the queue can have passed.
 
 use super::connect::Connect;
 use super::error::DiscoveryError;
+use super::list_fetch::COMPLETE_LIST_PATH;
 use super::response::{ReceiveProgress, ResponseStream};
 use super::timing::{RequestTiming, MAX_RESPONSE_TIME, OBJECT_TIMEOUT, STALL_TIMEOUT};
 use std::collections::VecDeque;
@@ -18,6 +24,9 @@
 
 /// Maximum number of requests without a response head. `net::connection_limits` reserves their descriptors.
 const MAX_UNANSWERED: usize = 4;
+/// Upper limit of the time after which a request without a response head is repeated. An agent that was slow
+/// and has then lost the request is asked again soon enough for a change to arrive within 6 s.
+const MAX_REQUEST_INTERVAL: Duration = Duration::from_secs(2);
 /// Maximum number of objects that are received at the same time. Each has a buffer, which the limit on the
 /// size of an object allows for (`OBJECT_MEMORY_SHARE` in [`super::json_framer`]).
 const MAX_OBJECTS_IN_TRANSIT: usize = 2;
@@ -34,7 +43,7 @@
 impl Request {
     fn path(self) -> String {
         match self {
-            Request::CompleteList => "/v1/servers".to_owned(),
+            Request::CompleteList => COMPLETE_LIST_PATH.to_owned(),
             Request::Watch { since: revision } => format!("/v1/servers?follow=1&since={revision}"),
         }
     }
@@ -56,7 +65,7 @@
 /// A step of a request that has been completed.
 enum Completed {
     /// The response head has been received.
-    Head(Request, ResponseStream),
+    Head { request: Request, response_time: Duration, response: ResponseStream },
     /// The complete list in the body has been received.
     List(ResponseStream),
     /// The rest of an object on a watch has been received.
@@ -96,6 +105,10 @@
     watch_requested: bool,
     /// An answer that arrived during a backoff.
     early_answer: Option<Answer>,
+    /// Time that the agent took to begin the answer to the last request for a complete list. Zero if a watch
+    /// has been answered since, so that an agent is not asked more slowly after an outage that it was asked
+    /// in.
+    list_response_time: Duration,
 }
 
 impl<A: Connect + Clone + 'static> AgentRequests<A> {
@@ -110,6 +123,7 @@
             latest_step: None,
             watch_requested: false,
             early_answer: None,
+            list_response_time: Duration::ZERO,
         }
     }
 
@@ -170,21 +184,24 @@
             self.close_one_unanswered();
         }
         let (agent, max_object_bytes) = (self.agent.clone(), self.max_object_bytes);
+        let sent_at = Instant::now();
         let task = self.tasks.spawn_local(async move {
             let response = ResponseStream::open(&agent, &request.path(), max_object_bytes).await?;
-            Ok(Completed::Head(request, response))
+            Ok(Completed::Head { request, response_time: sent_at.elapsed(), response })
         });
-        let sent_at = Instant::now();
         self.unanswered.push_back(UnansweredRequest { sent_at, task });
         self.latest_step = Some(LatestStep::Sent(sent_at));
     }
 
-    /// Closes the oldest request, or, until the oldest one is [`MAX_RESPONSE_TIME`] old, the second oldest
-    /// one. One request thus gets the full time, and an agent that always takes longer than the others get is
-    /// still heard.
+    /// Closes the oldest request, or, until the time of the oldest one has passed, the second oldest one. One
+    /// request thus gets the full time, and an agent that always takes longer than the others get is still
+    /// heard.
     fn close_one_unanswered(&mut self) {
+        // All requests for a list that were open may still be in the agent's queue.
+        let queueing_time = self.list_response_time * (MAX_UNANSWERED as u32 + 1);
+        let oldest_time = MAX_RESPONSE_TIME.max(queueing_time);
         let oldest_has_time =
-            self.unanswered.front().is_some_and(|oldest| oldest.sent_at.elapsed() < MAX_RESPONSE_TIME);
+            self.unanswered.front().is_some_and(|oldest| oldest.sent_at.elapsed() < oldest_time);
         if let Some(closed) = self.unanswered.remove(usize::from(oldest_has_time)) {
             closed.task.abort();
         }
@@ -195,8 +212,12 @@
     async fn next_answer(&mut self) -> Result<Answer, DiscoveryError> {
         loop {
             match self.next_completed().await {
-                Ok(Completed::Head(Request::CompleteList, response)) => self.receive_list(response),
-                Ok(Completed::Head(Request::Watch { .. }, response) | Completed::WatchObject(response)) => {
+                Ok(Completed::Head { request: Request::CompleteList, response_time, response }) => {
+                    self.list_response_time = response_time;
+                    self.receive_list(response);
+                }
+                Ok(Completed::Head { response, .. } | Completed::WatchObject(response)) => {
+                    self.list_response_time = Duration::ZERO;
                     self.close_all();
                     return Ok(Answer::Watch(response));
                 }
@@ -247,12 +268,18 @@
         self.in_transit.push(self.tasks.spawn_local(receive));
     }
 
+    /// Time without a response head after which a further request is due: the request timeout, or the time
+    /// that the agent took for its latest list if that is longer.
+    fn request_interval(&self) -> Duration {
+        self.timing.timeout.max(self.list_response_time.min(MAX_REQUEST_INTERVAL))
+    }
+
     /// When a further request is due: when the latest request has had no response head for the request
-    /// timeout, or its list has stalled for [`STALL_TIMEOUT`] or is incomplete after [`OBJECT_TIMEOUT`].
+    /// interval, or its list has stalled for [`STALL_TIMEOUT`] or is incomplete after [`OBJECT_TIMEOUT`].
     fn due_at(&self) -> Instant {
         match &self.latest_step {
             None => Instant::now(),
-            Some(LatestStep::Sent(sent_at)) => *sent_at + self.timing.timeout,
+            Some(LatestStep::Sent(sent_at)) => *sent_at + self.request_interval(),
             Some(LatestStep::Receiving(progress)) => {
                 (progress.started_at() + OBJECT_TIMEOUT).min(progress.last_chunk_at() + STALL_TIMEOUT)
             }
@@ -274,7 +301,8 @@
         self.unanswered.drain(..).for_each(|unanswered| unanswered.task.abort());
     }
 
-    fn close_all(&mut self) {
+    /// Closes all open requests and drops an answer that arrived during a backoff.
+    pub(super) fn close_all(&mut self) {
         self.close_unanswered();
         self.in_transit.clear();
         self.latest_step = None;
--- a/src/net/discovery/watcher.rs
+++ b/src/net/discovery/watcher.rs
@@ -3,11 +3,14 @@
 use super::connect::Connect;
 use super::endpoint_list::EndpointList;
 use super::error::DiscoveryError;
+use super::list_fetch::{fetched_list, ListFetch};
 use super::requests::{AgentRequests, Answer, Request};
 use super::response::ResponseStream;
 use super::timing::{RequestTiming, INITIAL_BACKOFF, STALE_WATCH_TIMEOUT, WATCH_IDLE_TIMEOUT};
 use crate::net::supervisor::keep_running;
+use std::cell::Cell;
 use std::convert::Infallible;
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
@@ -29,10 +32,40 @@
     pub max_object_bytes: usize,
 }
 
+/// The revision of the list in use. Shared by the handle and its watcher, so that the watcher of another agent
+/// continues from this revision.
+#[derive(Clone, Debug, Default)]
+struct KnownRevision(Rc<Cell<Option<u64>>>);
+
+impl KnownRevision {
+    fn new(revision: Option<u64>) -> Self {
+        KnownRevision(Rc::new(Cell::new(revision)))
+    }
+
+    fn get(&self) -> Option<u64> {
+        self.0.get()
+    }
+
+    fn set(&self, revision: Option<u64>) {
+        self.0.set(revision);
+    }
+}
+
+/// Where the list comes from that a watcher starts with.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ListOrigin {
+    /// The configuration, or no list at all.
+    Configuration,
+    /// An agent that was watched before.
+    OtherAgent,
+}
+
 /// A handle to a running watcher of one discovery agent. Dropping the handle stops the watcher.
 pub struct WatcherHandle<A> {
     agent: A,
     limits: WatcherLimits,
+    /// The revision up to which all changes are known. If it is `None`, a complete list must be read next.
+    revision: KnownRevision,
     task: AbortHandle,
 }
 
@@ -45,21 +78,38 @@
         known_revision: Option<u64>,
         limits: WatcherLimits,
     ) -> Self {
-        let (sink, watched_agent) = (sink.clone(), agent.clone());
-        let task = keep_running("discovery", move || {
-            EndpointWatcher::new(sink.clone(), watched_agent.clone(), known_revision, limits).watch_forever()
-        });
-        WatcherHandle { agent, limits, task }
+        let revision = KnownRevision::new(known_revision);
+        Self::start_from(sink, agent, revision, ListOrigin::Configuration, limits)
     }
 
     /// Watches `agent` instead of the current agent, if the two differ. The current list stays in use until
-    /// the new agent has sent a list. The revisions of two agents may not be comparable, so the watcher first
-    /// reads a complete list from the new agent.
+    /// the new agent has sent a list or a change.
+    ///
+    /// The watch is opened for the changes after the revision of the current list, without waiting for the
+    /// new agent's complete list: if the agent is slow, a change would arrive only after two answers. The
+    /// revisions of the two agents may not be comparable, so the watcher also reads the complete list, beside
+    /// the watch.
     pub fn switch_agent<S: EndpointSink + Clone + 'static>(&mut self, sink: &S, agent: A) {
         if self.agent != agent {
-            *self = WatcherHandle::start(sink, agent, None, self.limits);
+            let revision = KnownRevision::new(self.revision.get());
+            *self = WatcherHandle::start_from(sink, agent, revision, ListOrigin::OtherAgent, self.limits);
         }
     }
+
+    fn start_from<S: EndpointSink + Clone + 'static>(
+        sink: &S,
+        agent: A,
+        revision: KnownRevision,
+        origin: ListOrigin,
+        limits: WatcherLimits,
+    ) -> Self {
+        let (sink, watched_agent, known_revision) = (sink.clone(), agent.clone(), revision.clone());
+        let task = keep_running("discovery", move || {
+            EndpointWatcher::new(sink.clone(), watched_agent.clone(), known_revision.clone(), origin, limits)
+                .watch_forever()
+        });
+        WatcherHandle { agent, limits, revision, task }
+    }
 }
 
 impl<A> Drop for WatcherHandle<A> {
@@ -72,9 +122,16 @@
     sink: S,
     agent: A,
     timing: RequestTiming,
+    max_object_bytes: usize,
     requests: AgentRequests<A>,
-    /// The revision up to which all changes are known. If it is `None`, a complete list must be read next.
-    revision: Option<u64>,
+    revision: KnownRevision,
+    /// The revision of the list that another agent sent, until this agent's complete list has been received.
+    inherited_revision: Option<u64>,
+    /// The request for the complete list that is compared with the inherited revision.
+    list_fetch: Option<ListFetch>,
+    /// The revision of that list, until an error ends the watch that was requested before it. The agent may
+    /// have begun to answer the watch before it answered with the list.
+    fetched_revision: Option<u64>,
     backoff: Duration,
     /// Time of the agent's first response to a watch request after the last data from the agent (any byte on
     /// a watch, or a complete list). `None` if the agent has not responded to a watch request since that
@@ -83,14 +140,18 @@
 }
 
 impl<S: EndpointSink, A: Connect + Clone + 'static> EndpointWatcher<S, A> {
-    fn new(sink: S, agent: A, known_revision: Option<u64>, limits: WatcherLimits) -> Self {
+    fn new(sink: S, agent: A, revision: KnownRevision, origin: ListOrigin, limits: WatcherLimits) -> Self {
         let timing = RequestTiming::for_drain_grace(limits.drain_grace);
         EndpointWatcher {
             sink,
             requests: AgentRequests::new(agent.clone(), timing, limits.max_object_bytes),
             agent,
             timing,
-            revision: known_revision,
+            max_object_bytes: limits.max_object_bytes,
+            inherited_revision: revision.get().filter(|_| origin == ListOrigin::OtherAgent),
+            list_fetch: None,
+            fetched_revision: None,
+            revision,
             backoff: INITIAL_BACKOFF,
             silent_since: None,
         }
@@ -104,11 +165,26 @@
                 self.agent,
                 self.backoff.as_millis()
             );
-            self.requests.back_off(self.backoff).await;
+            self.fetched_revision = None;
+            self.back_off().await;
             self.backoff = (self.backoff * 2).min(self.timing.max_backoff);
         }
     }
 
+    /// Waits for the backoff, but not longer than until an open request is answered.
+    async fn back_off(&mut self) {
+        tokio::select! {
+            biased;
+            mut response = fetched_list(&mut self.list_fetch) => {
+                // After an error, too, the watch is requested next.
+                if let Err(error) = self.compare_fetched_list(&mut response) {
+                    log::warn!("discovery: {error}");
+                }
+            }
+            () = self.requests.back_off(self.backoff) => {}
+        }
+    }
+
     /// Reads a complete list if one is needed, then applies the changes from a watch until an error occurs.
     async fn watch_until_error(&mut self) -> Result<Infallible, DiscoveryError> {
         let mut response = self.open_watch().await?;
@@ -116,7 +192,15 @@
             self.apply_received(&mut response)?;
             // If this await is cancelled, the bytes of a partly received list are lost with the connection.
             // The next watch starts after the revision of the last list that was fully received.
-            match response.read_chunk(WATCH_IDLE_TIMEOUT).await {
+            let chunk = tokio::select! {
+                biased;
+                mut list = fetched_list(&mut self.list_fetch) => {
+                    self.compare_fetched_list(&mut list)?;
+                    continue;
+                }
+                chunk = response.read_chunk(WATCH_IDLE_TIMEOUT) => chunk,
+            };
+            match chunk {
                 Ok(()) => self.silent_since = None,
                 // The changes of the list are unknown until the rest has arrived, or a complete list.
                 Err(error @ DiscoveryError::ObjectTimeout) => {
@@ -132,9 +216,20 @@
     /// if one is needed.
     async fn open_watch(&mut self) -> Result<ResponseStream, DiscoveryError> {
         loop {
-            let since = self.revision.filter(|_| !self.is_watch_stale());
+            let since = self.revision.get().filter(|_| !self.is_watch_stale());
             let request = since.map_or(Request::CompleteList, |since| Request::Watch { since });
-            let answer = self.requests.send(request).await;
+            let answer = tokio::select! {
+                biased;
+                mut list = fetched_list(&mut self.list_fetch) => {
+                    // The next watch is requested for the revision that is known now.
+                    if let Err(error) = self.compare_fetched_list(&mut list) {
+                        log::warn!("discovery: {error}");
+                    }
+                    continue;
+                }
+                answer = self.requests.send(request) => answer,
+            };
+            self.fetch_list_if_inherited();
             // The agent has responded, but nothing has been received on the watch yet. An agent that does not
             // respond is down, which does not mean that its watches are stale.
             if matches!(answer, Ok(Answer::Watch(_)) | Err(DiscoveryError::UnexpectedStatus(_))) {
@@ -147,6 +242,36 @@
         }
     }
 
+    /// Starts to read the agent's complete list if the list in use came from another agent. This happens only
+    /// after the first result of a watch request, so that an agent that answers one request after the other
+    /// opens the watch first.
+    fn fetch_list_if_inherited(&mut self) {
+        if self.inherited_revision.is_some() && self.list_fetch.is_none() {
+            self.list_fetch = Some(ListFetch::start(&self.agent, self.max_object_bytes));
+        }
+    }
+
+    /// Compares the agent's complete list with the list in use, which came from another agent, and applies it
+    /// unless a watch of the agent has already sent later changes.
+    ///
+    /// # Errors
+    /// Returns an error if the list cannot be read, or if its revision is earlier than the one that the watch
+    /// was opened for: the agent may omit changes on such a watch, so that it must be opened again.
+    fn compare_fetched_list(&mut self, response: &mut ResponseStream) -> Result<(), DiscoveryError> {
+        let list = response.next_list()?.ok_or(DiscoveryError::ResponseEnded)?.into_complete();
+        let inherited_revision = self.inherited_revision.take();
+        let is_earlier = inherited_revision.is_some_and(|inherited| list.revision < inherited);
+        if is_earlier || self.revision.get().is_none_or(|known| list.revision >= known) {
+            self.apply(&list);
+        }
+        self.fetched_revision = Some(list.revision);
+        if is_earlier {
+            self.requests.close_all();
+            return Err(DiscoveryError::EarlierRevision { revision: list.revision });
+        }
+        Ok(())
+    }
+
     fn is_watch_stale(&self) -> bool {
         self.silent_since.is_some_and(|since| since.elapsed() >= STALE_WATCH_TIMEOUT)
     }
@@ -159,6 +284,9 @@
                 Ok(None) => return Ok(()),
                 Err(error) => return Err(self.require_complete_list(error)),
             };
+            if !list.complete && self.fetched_revision.is_some_and(|fetched| list.revision < fetched) {
+                continue;
+            }
             if !self.apply(&list) && !list.complete {
                 return Err(self.require_complete_list(DiscoveryError::InvalidEntry));
             }
@@ -168,7 +296,8 @@
     /// Makes the watcher read a complete list next, because data of the watch was only partly received or
     /// cannot be decoded. That data may contain a change. Returns the error unchanged.
     fn require_complete_list(&mut self, error: DiscoveryError) -> DiscoveryError {
-        self.revision = None;
+        self.revision.set(None);
+        self.end_comparison();
         error
     }
 
@@ -178,13 +307,21 @@
         let list = response.next_list()?.ok_or(DiscoveryError::ResponseEnded)?;
         self.apply(&list.into_complete());
         self.silent_since = None;
+        self.end_comparison();
         Ok(())
     }
 
+    /// Ends the comparison with the list of another agent, because a complete list of this agent has been
+    /// applied or will be requested next.
+    fn end_comparison(&mut self) {
+        self.inherited_revision = None;
+        self.list_fetch = None;
+    }
+
     /// Records the revision of a list, resets the backoff and passes the list to the sink. Returns false if
     /// an entry cannot be decoded.
     fn apply(&mut self, list: &EndpointList<'_>) -> bool {
-        self.revision = Some(list.revision);
+        self.revision.set(Some(list.revision));
         self.backoff = INITIAL_BACKOFF;
         self.sink.apply_endpoints(list)
     }
--- a/tests/support/discovery.rs
+++ b/tests/support/discovery.rs
@@ -4,7 +4,7 @@
 use socket2::SockRef;
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -29,6 +29,8 @@
     pub unresponsive: Arc<AtomicBool>,
     /// Maximum number of bytes of a list or an event that the agent writes at once.
     pub write_size: Arc<AtomicUsize>,
+    /// Time, ms, from the arrival of a call until its answer.
+    pub answer_delay: Arc<AtomicU64>,
 }
 
 impl Discovery {
@@ -43,6 +45,7 @@
             silent_watches: Arc::default(),
             unresponsive: Arc::default(),
             write_size: Arc::new(AtomicUsize::new(usize::MAX)),
+            answer_delay: Arc::default(),
         };
         let mut handler = Handler {
             list: discovery.list.clone(),
@@ -50,6 +53,7 @@
             watches: discovery.watches.clone(),
             unresponsive: discovery.unresponsive.clone(),
             write_size: discovery.write_size.clone(),
+            answer_delay: discovery.answer_delay.clone(),
             unanswered: Vec::new(),
         };
         std::thread::spawn(move || listener.incoming().flatten().for_each(|stream| handler.serve(stream)));
@@ -82,6 +86,11 @@
         self.request_lines.lock().expect("lock poisoned").len()
     }
 
+    /// Whether the request line of the last call that was received contains `text`.
+    pub fn last_call_contains(&self, text: &str) -> bool {
+        self.request_lines.lock().expect("lock poisoned").last().is_some_and(|line| line.contains(text))
+    }
+
     /// Number of watches that were opened and not reset, including those that the gateway has closed.
     pub fn watch_count(&self) -> usize {
         self.watches.lock().expect("lock poisoned").len()
@@ -106,6 +115,7 @@
     watches: Arc<Mutex<Vec<TcpStream>>>,
     unresponsive: Arc<AtomicBool>,
     write_size: Arc<AtomicUsize>,
+    answer_delay: Arc<AtomicU64>,
     /// Connections of the calls that were received while the agent was unresponsive. They stay open.
     unanswered: Vec<TcpStream>,
 }
@@ -116,6 +126,7 @@
         stream.set_nodelay(true).expect("TCP_NODELAY could not be set");
         let Some(message) = read_message(&mut reader) else { return };
         self.request_lines.lock().expect("lock poisoned").push(message.start_line.clone());
+        std::thread::sleep(Duration::from_millis(self.answer_delay.load(Ordering::SeqCst)));
         if self.unresponsive.load(Ordering::SeqCst) {
             self.unanswered.push(stream);
         } else if message.start_line.contains("follow=1") {
