Use the cached list beyond the grace only once the agent has answered

Cause: INITIAL_LIST_TIMEOUT made the gateway ready with its cached list after 0.5 s, whatever was still open at the agent; and requests were forwarded even before that, since only /healthz asked for readiness.

Change: net::cached_list allows attempts for the drain grace less 0.15 s, then once the agent has answered, and from 4 s on in any case, since an agent that is down gives no answer either. Until then requests get 503 with Retry-After.

--- a/src/net/client/request_handler.rs
+++ b/src/net/client/request_handler.rs
@@ -93,6 +93,11 @@
             return Ok(response::shutting_down());
         }
         check_body(&head.method, &body)?;
+        if let Err(time_until_ready) = self.event_loop.check_may_forward() {
+            connection.record_received_request(self.event_loop.now());
+            let retry_after = time_until_ready.min(self.event_loop.settings().max_retry_after);
+            return Ok(response::starting(retry_after));
+        }
         let _in_flight_id_guard = self.in_flight_ids.reserve(validated.correlation_id)?;
         let forwarded_request = ForwardedRequest {
             method: head.method,
--- a/src/net/client/response.rs
+++ b/src/net/client/response.rs
@@ -44,22 +44,34 @@
     plain_text(StatusCode::SERVICE_UNAVAILABLE, "ending\n")
 }
 
+/// Builds the response (503) to a request that arrives while the gateway waits for its discovery agent.
+/// `retry_after` is in ms.
+pub fn starting(retry_after: Millis) -> ClientResponse {
+    let mut response = plain_text(StatusCode::SERVICE_UNAVAILABLE, "starting\n");
+    set_retry_after(&mut response, retry_after);
+    response
+}
+
 /// Adds a `Connection: close` header; the HTTP library closes the connection after a response that has one.
 pub fn announce_close(response: &mut ClientResponse) {
     response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
 }
 
-/// Builds the response to a rejected request. `retry_after` is in ms; if it is 0, the response has no
-/// `Retry-After` header. HTTP allows only whole seconds in this header, but the clients of this protocol
-/// accept fractions.
+/// Builds the response to a rejected request. `retry_after` is in ms.
 fn rejected(retry_after: Millis) -> ClientResponse {
     let mut response = plain_text(StatusCode::TOO_MANY_REQUESTS, "over the quota or too busy\n");
+    set_retry_after(&mut response, retry_after);
+    response
+}
+
+/// Adds a `Retry-After` header unless `retry_after`, ms, is 0. HTTP allows only whole seconds in this header,
+/// but the clients of this protocol accept fractions.
+fn set_retry_after(response: &mut ClientResponse, retry_after: Millis) {
     if retry_after > 0.0 {
         if let Ok(seconds) = HeaderValue::try_from(format!("{:.3}", retry_after / 1000.0)) {
             response.headers_mut().insert(RETRY_AFTER, seconds);
         }
     }
-    response
 }
 
 fn plain_text(status: StatusCode, text: &'static str) -> ClientResponse {
--- a/src/net/discovery/response.rs
+++ b/src/net/discovery/response.rs
@@ -119,6 +119,11 @@
         Ok(Some(list))
     }
 
+    /// Whether an object has been received in part.
+    pub(super) fn in_object(&self) -> bool {
+        self.framer.in_object()
+    }
+
     /// Waits for the next chunk of the body. Outside of an object, the chunk must arrive within
     /// `idle_timeout`. Within an object, the chunk must arrive within [`STALL_TIMEOUT`], and at the latest
     /// [`OBJECT_TIMEOUT`] after the gateway began to wait for the rest of the object.
--- a/src/net/discovery/timing.rs
+++ b/src/net/discovery/timing.rs
@@ -22,6 +22,9 @@
 /// have a change that it cannot send, and part of the 6 s within which the gateway must receive the change
 /// may already have passed. If discovery itself is down, reopening the watch costs nothing.
 pub(super) const WATCH_IDLE_TIMEOUT: Duration = Duration::from_millis(2300);
+/// Time without a byte after the response head of the first watch, after which the agent counts as having no
+/// changes. The agent sends changes right behind the head, but sends an empty line only after up to 2 s.
+pub(super) const FIRST_CHANGE_DELAY: Duration = Duration::from_millis(200);
 /// A complete list is requested when the agent responded to a watch request at least this long ago and has
 /// not sent a byte on any watch since, not even an empty line: the agent may have changes that its watches do
 /// not send. Longer than [`WATCH_IDLE_TIMEOUT`], so that one idle watch does not cause a request for a
--- a/src/net/discovery/watcher.rs
+++ b/src/net/discovery/watcher.rs
@@ -6,7 +6,9 @@
 use super::list_fetch::{fetched_list, ListFetch};
 use super::requests::{AgentRequests, Answer, Request};
 use super::response::ResponseStream;
-use super::timing::{RequestTiming, INITIAL_BACKOFF, STALE_WATCH_TIMEOUT, WATCH_IDLE_TIMEOUT};
+use super::timing::{
+    RequestTiming, FIRST_CHANGE_DELAY, INITIAL_BACKOFF, STALE_WATCH_TIMEOUT, WATCH_IDLE_TIMEOUT,
+};
 use crate::net::supervisor::keep_running;
 use std::cell::Cell;
 use std::convert::Infallible;
@@ -20,6 +22,9 @@
     /// Applies a list. Returns false if an entry cannot be decoded, since the change that the entry describes
     /// is then unknown.
     fn apply_endpoints(&self, list: &EndpointList<'_>) -> bool;
+
+    /// Records that the agent has answered and that the list in use contains all changes that it sent.
+    fn confirm_endpoints(&self);
 }
 
 /// Limits of a watcher's requests and memory.
@@ -132,6 +137,8 @@
     /// The revision of that list, until an error ends the watch that was requested before it. The agent may
     /// have begun to answer the watch before it answered with the list.
     fetched_revision: Option<u64>,
+    /// Whether the sink knows that the agent has answered.
+    confirmed: bool,
     backoff: Duration,
     /// Time of the agent's first response to a watch request after the last data from the agent (any byte on
     /// a watch, or a complete list). `None` if the agent has not responded to a watch request since that
@@ -151,6 +158,7 @@
             inherited_revision: revision.get().filter(|_| origin == ListOrigin::OtherAgent),
             list_fetch: None,
             fetched_revision: None,
+            confirmed: false,
             revision,
             backoff: INITIAL_BACKOFF,
             silent_since: None,
@@ -188,8 +196,14 @@
     /// Reads a complete list if one is needed, then applies the changes from a watch until an error occurs.
     async fn watch_until_error(&mut self) -> Result<Infallible, DiscoveryError> {
         let mut response = self.open_watch().await?;
+        let mut received = false;
         loop {
             self.apply_received(&mut response)?;
+            if received && !response.in_object() {
+                self.confirm();
+            }
+            // The agent sends what has changed right behind the response head.
+            let idle_timeout = if self.confirmed { WATCH_IDLE_TIMEOUT } else { FIRST_CHANGE_DELAY };
             // If this await is cancelled, the bytes of a partly received list are lost with the connection.
             // The next watch starts after the revision of the last list that was fully received.
             let chunk = tokio::select! {
@@ -198,10 +212,14 @@
                     self.compare_fetched_list(&mut list)?;
                     continue;
                 }
-                chunk = response.read_chunk(WATCH_IDLE_TIMEOUT) => chunk,
+                chunk = response.read_chunk(idle_timeout) => chunk,
             };
             match chunk {
-                Ok(()) => self.silent_since = None,
+                Ok(()) => {
+                    received = true;
+                    self.silent_since = None;
+                }
+                Err(DiscoveryError::IdleTimeout) if !self.confirmed => self.confirm(),
                 // The changes of the list are unknown until the rest has arrived, or a complete list.
                 Err(error @ DiscoveryError::ObjectTimeout) => {
                     self.requests.keep_watch(response);
@@ -272,6 +290,13 @@
         Ok(())
     }
 
+    fn confirm(&mut self) {
+        if !self.confirmed {
+            self.confirmed = true;
+            self.sink.confirm_endpoints();
+        }
+    }
+
     fn is_watch_stale(&self) -> bool {
         self.silent_since.is_some_and(|since| since.elapsed() >= STALE_WATCH_TIMEOUT)
     }
--- a/src/net/event_loop.rs
+++ b/src/net/event_loop.rs
@@ -5,6 +5,7 @@
 //! Executing an action may produce another event immediately, so events are queued: the policy handles an
 //! event only after the actions of the previous event have been executed.
 
+use super::cached_list::CachedList;
 use super::clock::Clock;
 use super::counter::{CompletedCall, CounterClient, Increment};
 use super::discovery::{EndpointList, EndpointSink};
@@ -69,7 +70,7 @@
     /// events that are enqueued before it returns.
     running: Cell<bool>,
     timers: TimerQueue,
-    ready: Cell<bool>,
+    cached_list: CachedList,
     /// The connections to servers.
     pub pool: ConnectionPool,
     counter: Rc<CounterClient>,
@@ -81,8 +82,9 @@
     pub fn new(config: &Config, max_upstream_connections: usize) -> Rc<Self> {
         let counter_call_timeout = counter_call_timeout(&config.settings);
         let gateway = Gateway::new(config.settings.clone(), config.seed);
+        let clock = Clock::start();
         let event_loop = Rc::new(EventLoop {
-            clock: Clock::start(),
+            clock,
             names: config.names.clone(),
             settings: config.settings.clone(),
             drain_grace: Duration::from_secs_f64(config.drain_grace / 1000.0),
@@ -97,7 +99,7 @@
             events: RefCell::default(),
             running: Cell::new(false),
             timers: TimerQueue::default(),
-            ready: Cell::new(false),
+            cached_list: CachedList::new(clock.now(), config.drain_grace),
             pool: ConnectionPool::new(PoolSettings {
                 server_idle_timeout: config.server_idle_timeout,
                 connect_timeout: config.connect_timeout,
@@ -145,15 +147,23 @@
         self.drain_grace
     }
 
-    /// Whether the gateway can serve requests: [`set_ready`](Self::set_ready) was called and a server is
-    /// registered.
+    /// Whether the gateway can serve requests: a server is registered, and the discovery agent has confirmed
+    /// the endpoint list or is considered to be down.
     pub fn is_ready(&self) -> bool {
-        self.ready.get() && !self.endpoints.borrow().is_empty()
+        self.cached_list.is_ready(self.now()) && !self.endpoints.borrow().is_empty()
     }
 
-    /// Lets [`is_ready`](Self::is_ready) return true as soon as a server is registered.
-    pub fn set_ready(&self) {
-        self.ready.set(true);
+    /// Whether the gateway may send requests to the servers of its endpoint list.
+    ///
+    /// # Errors
+    /// Returns the time, ms, after which it may do so at the latest.
+    pub fn check_may_forward(&self) -> Result<(), Millis> {
+        let now = self.now();
+        if self.cached_list.allows_attempts(now) {
+            Ok(())
+        } else {
+            Err(self.cached_list.time_until_ready(now))
+        }
     }
 
     /// Number of requests that have no final answer yet and whose clients are still connected.
@@ -248,7 +258,7 @@
     pub fn endpoints_changed(self: &Rc<Self>, list: &EndpointList<'_>) -> bool {
         let update = if list.complete { EndpointUpdate::Complete } else { EndpointUpdate::Incremental };
         let all_decoded = self.update_endpoints(list, update);
-        self.set_ready();
+        self.cached_list.confirm();
         all_decoded
     }
 
@@ -330,4 +340,8 @@
     fn apply_endpoints(&self, list: &EndpointList<'_>) -> bool {
         self.endpoints_changed(list)
     }
+
+    fn confirm_endpoints(&self) {
+        self.cached_list.confirm();
+    }
 }
--- a/src/net/event_loop/attempts.rs
+++ b/src/net/event_loop/attempts.rs
@@ -105,6 +105,9 @@
         if !self.requests.borrow().is_in_repeat_window(AttemptId { request: id, number }, self.now()) {
             return Err(Outcome::NotSent);
         }
+        if self.check_may_forward().is_err() {
+            return Err(Outcome::NotSent);
+        }
         // An attempt to a draining server ends as if the server were unreachable.
         if self.accepts_requests(server) {
             Ok(())
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -8,6 +8,7 @@
 //! - [`serve`] starts all of these modules. [`signals`], [`shutdown`], [`connection_limits`], [`logging`] and
 //!   [`supervisor`] handle the gateway process itself.
 
+pub mod cached_list;
 pub mod client;
 pub mod clock;
 pub mod connection_limits;
--- a/src/net/serve.rs
+++ b/src/net/serve.rs
@@ -14,13 +14,9 @@
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 use thiserror::Error;
 
-/// Time after startup at which the gateway may become ready with its cached endpoint list, if discovery has
-/// not sent a list by then.
-const INITIAL_LIST_TIMEOUT: Duration = Duration::from_millis(500);
-
 /// The reason why the gateway cannot start.
 #[derive(Debug, Error)]
 pub enum ServeError {
@@ -68,7 +64,6 @@
         let event_loop = EventLoop::new(&config, limits.max_upstream);
         event_loop.start();
         let discovery = start_discovery(&config, &event_loop);
-        become_ready_after_timeout(event_loop.clone());
         let clients = ClientListener::new(event_loop.clone(), limits.max_clients);
         let address = start_listener(&clients, config.listen)
             .map_err(|source| ServeError::Listen { address: config.listen, source })?;
@@ -134,15 +129,6 @@
     WatcherHandle::start(event_loop, config.discovery, known_revision, limits)
 }
 
-/// Lets the gateway report itself ready after [`INITIAL_LIST_TIMEOUT`], even if discovery has not sent a
-/// list. The gateway is then ready only if its cached endpoint list has a server.
-fn become_ready_after_timeout(event_loop: Rc<EventLoop>) {
-    tokio::task::spawn_local(async move {
-        tokio::time::sleep(INITIAL_LIST_TIMEOUT).await;
-        event_loop.set_ready();
-    });
-}
-
 /// Starts the tasks that accept client connections and close idle ones, and returns the address that the
 /// gateway listens on. The listener stays open for the life of the process, even during a shutdown: closing
 /// it would reset the connections that wait to be accepted, and their requests would be lost.
--- a/tests/restart.rs
+++ b/tests/restart.rs
@@ -110,6 +110,37 @@
     assert_ready_soon("discovery not responding, cached list", setup);
 }
 
+/// Regression test for an incident: a restarted gateway used its cached list until a slow agent answered, and
+/// sent requests to a server that had begun to drain while the gateway was down. After the drain grace, the
+/// gateway must forward nothing before the agent has answered, and must say when clients should retry.
+#[test]
+fn a_restarted_gateway_forwards_nothing_after_the_grace_until_a_slow_agent_answers() {
+    const ANSWER_DELAY: Duration = Duration::from_secs(3);
+    const DRAIN_GRACE: Duration = Duration::from_secs(1);
+    let server = Server::ok();
+    let (setup, discovery, _counter) = start_stubs(&endpoints_of(&server));
+    discovery.answer_delay.store(ANSWER_DELAY.as_millis() as u64, Ordering::SeqCst);
+    let gateway = setup.launch();
+    let started = Instant::now();
+    let mut client = gateway.client();
+    let mut rejected = 0;
+    while client.get("/healthz", "").status() != 200 {
+        let forwarded_before = server.request_count();
+        let sent_after = started.elapsed();
+        let response = client.get_idempotent();
+        if sent_after > DRAIN_GRACE {
+            assert_eq!(response.status(), 503, "a request was not rejected {sent_after:?} after the start");
+            assert!(response.header("retry-after").is_some(), "the response has no Retry-After");
+            assert_eq!(server.request_count(), forwarded_before, "a request was forwarded after the grace");
+            rejected += 1;
+        }
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    assert!(rejected > 0, "the gateway was ready before the agent answered");
+    assert!(started.elapsed() < READY_WITHIN, "the gateway was ready only after {:?}", started.elapsed());
+    assert_eq!(client.get_idempotent().status(), 200);
+}
+
 /// A gateway shuts down and closes its connections before its clients do, so its connections stay in
 /// TIME_WAIT. The next process must still be able to listen on the same port.
 #[test]
--- a/tests/unit/endpoint_watcher.rs
+++ b/tests/unit/endpoint_watcher.rs
@@ -383,6 +383,10 @@
         }
         decoded
     }
+
+    fn confirm_endpoints(&self) {
+        EndpointSink::confirm_endpoints(&self.event_loop);
+    }
 }
 
 /// Runs a test in paused time, with the event loop as the sink of the lists.
