Release each chunk of a body before the next one is read

Cause: the chunks of a body were collected until it was complete. Each refers to its connection's read buffer, and the HTTP library allocates another 8 KB whenever less than that is free in a buffer that is still referred to.

Change: net::body copies each chunk into one buffer and releases it at once. The bodies of servers' responses go the same way.

--- a/src/net/client/request_body.rs
+++ b/src/net/client/request_body.rs
@@ -2,8 +2,8 @@
 
 use super::connection::READ_TIMEOUT;
 use super::request_error::RequestError;
+use crate::net::body::{read_to_end, BodyError};
 use bytes::Bytes;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
 use std::time::Duration;
 
@@ -22,10 +22,10 @@
         return Err(RequestError::BodyTooLong);
     }
     let timeout = Duration::from_secs_f64(READ_TIMEOUT / 1000.0);
-    match tokio::time::timeout(timeout, Limited::new(body, MAX_BODY_BYTES).collect()).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(e)) if e.is::<LengthLimitError>() => Err(RequestError::BodyTooLong),
-        Ok(Err(_)) => Err(RequestError::IncompleteBody),
+    match tokio::time::timeout(timeout, read_to_end(body, MAX_BODY_BYTES)).await {
+        Ok(Ok(body)) => Ok(body),
+        Ok(Err(BodyError::TooLong { .. })) => Err(RequestError::BodyTooLong),
+        Ok(Err(BodyError::Read(_))) => Err(RequestError::IncompleteBody),
         Err(_) => Err(RequestError::BodyTimeout),
     }
 }
--- a/src/net/upstream/response.rs
+++ b/src/net/upstream/response.rs
@@ -2,8 +2,8 @@
 
 use super::instrumented_stream::ExchangeState;
 use crate::event::Outcome;
+use crate::net::body::{read_to_end, BodyError};
 use bytes::Bytes;
-use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::header::{HeaderMap, HeaderName, HeaderValue, CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::http::response::Parts;
@@ -51,9 +51,10 @@
 ) -> Result<ReceivedResponse, Outcome> {
     let (head, body) = response.into_parts();
     let body_end = body_end(&head, &body).ok_or(Outcome::Error)?;
-    let body = match Limited::new(body, MAX_BODY_BYTES).collect().await {
-        Ok(body) => body.to_bytes(),
-        Err(error) => return Err(failure_outcome(&*error)),
+    let body = match read_to_end(body, MAX_BODY_BYTES).await {
+        Ok(body) => body,
+        Err(BodyError::TooLong { .. }) => return Err(Outcome::Error),
+        Err(BodyError::Read(error)) => return Err(failure_outcome(&error)),
     };
     if body_end == BodyEnd::ConnectionClose && !exchange.is_closed_in_order() {
         return Err(Outcome::Reset);
--- a/tests/resource_limits.rs
+++ b/tests/resource_limits.rs
@@ -11,8 +11,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use support::{
-    endpoint_entry, endpoint_list, endpoints_of, eventually, response_bytes, start_stubs, Client, Counter,
-    Discovery, Gate, GatewayProcess, Message, Server, Setup, StubResponse,
+    endpoint_entry, endpoint_list, endpoints_of, eventually, memory, response_bytes, start_stubs, Client,
+    Counter, Discovery, Gate, GatewayProcess, Message, Server, Setup, StubResponse,
 };
 
 /// Number of file descriptors that the gateway has open.
@@ -22,14 +22,6 @@
         .count()
 }
 
-/// Resident memory of the gateway, kB.
-fn memory(gateway: &GatewayProcess) -> usize {
-    let path = format!("/proc/{}/status", gateway.child.id());
-    let status = std::fs::read_to_string(path).expect("the status of the gateway could not be read");
-    let line = status.lines().find(|l| l.starts_with("VmRSS:")).expect("the status has no VmRSS line");
-    line.split_whitespace().nth(1).and_then(|kb| kb.parse().ok()).expect("the VmRSS line has no number")
-}
-
 /// Sixty clients connect at once to a gateway that keeps at most eight client connections open. Each client
 /// must get its response, and the number of descriptors must stay within the limit while the clients wait.
 #[test]
--- a/tests/support/gateway_process.rs
+++ b/tests/support/gateway_process.rs
@@ -75,6 +75,24 @@
     }
 }
 
+/// Largest resident memory that the gateway has had, kB.
+pub fn peak_memory(gateway: &GatewayProcess) -> usize {
+    memory_figure(gateway, "VmHWM:")
+}
+
+/// Resident memory of the gateway, kB.
+pub fn memory(gateway: &GatewayProcess) -> usize {
+    memory_figure(gateway, "VmRSS:")
+}
+
+/// A figure of the kernel's status of the process, kB.
+fn memory_figure(gateway: &GatewayProcess, name: &str) -> usize {
+    let path = format!("/proc/{}/status", gateway.child.id());
+    let status = std::fs::read_to_string(path).expect("the status of the gateway could not be read");
+    let line = status.lines().find(|line| line.starts_with(name)).expect("the status lacks the figure");
+    line.split_whitespace().nth(1).and_then(|kb| kb.parse().ok()).expect("the figure is not a number")
+}
+
 impl Drop for GatewayProcess {
     fn drop(&mut self) {
         let _ = self.child.kill();
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -23,7 +23,7 @@
     counter::Counter,
     discovery::{endpoint_entry, endpoint_list, Discovery},
     gate::Gate,
-    gateway_process::GatewayProcess,
+    gateway_process::{memory, peak_memory, GatewayProcess},
     message::{read_message, response_bytes, Message},
     server::{endpoints_of, Server, StubResponse},
     setup::{start_stubs, Setup, LARGE_QUOTA_PLAN},
--- a/tests/support/server.rs
+++ b/tests/support/server.rs
@@ -21,6 +21,8 @@
     Reset(Vec<u8>, Duration),
     /// Writes the first bytes, and after a delay the second bytes, which no request has asked for.
     WriteTwice(Vec<u8>, Duration, Vec<u8>),
+    /// Writes the bytes one by one, with a pause between two of them, for up to 1.5 s.
+    ByteByByte(Vec<u8>),
     /// Writes nothing and leaves the connection open.
     NoResponse,
 }
@@ -140,6 +142,7 @@
                     let _ = self.idle_before_close.send(Duration::ZERO);
                     return;
                 }
+                StubResponse::ByteByByte(bytes) => write_byte_by_byte(&mut stream, &bytes),
                 StubResponse::NoResponse => {}
             }
         }
@@ -158,6 +161,19 @@
     }
 }
 
+/// Writes the bytes one by one, until the time of [`StubResponse::ByteByByte`] is over or the peer closes the
+/// connection.
+fn write_byte_by_byte(stream: &mut TcpStream, bytes: &[u8]) {
+    let _ = stream.set_nodelay(true);
+    let end = Instant::now() + Duration::from_millis(1500);
+    for byte in bytes {
+        if Instant::now() > end || stream.write_all(&[*byte]).is_err() {
+            return;
+        }
+        std::thread::sleep(Duration::from_micros(500));
+    }
+}
+
 /// Writes the bytes and closes the stream for writing. Returns once the peer's socket has received the close.
 fn write_and_close(stream: &mut TcpStream, bytes: &[u8]) {
     let _ = stream.write_all(bytes);
