Remove timers of answered requests from the timer queue

Cause: a timer cannot be disarmed, so the timer of a request's deadline stayed in the queue until then.

Change: TimerQueue::clean_up removes timers that no longer apply whenever their number has doubled; submit calls it.

--- a/src/net/counter/calls.rs
+++ b/src/net/counter/calls.rs
@@ -37,6 +37,11 @@
         id
     }
 
+    /// Whether the outcome of a call has not been reported yet.
+    pub(super) fn is_outstanding(&self, id: CallId) -> bool {
+        self.calls.borrow().contains_key(&id)
+    }
+
     /// Removes a call so that the caller can report its outcome. Returns `None` if the call was already
     /// removed, for example because it timed out before its reply arrived.
     pub(super) fn complete(&self, id: CallId, now: Millis) -> Option<CompletedCall> {
--- a/src/net/counter/client.rs
+++ b/src/net/counter/client.rs
@@ -77,6 +77,11 @@
         Ok(id)
     }
 
+    /// Whether the outcome of a call has not been reported yet.
+    pub fn is_pending(&self, id: CallId) -> bool {
+        self.calls.is_outstanding(id)
+    }
+
     /// Ends a call that has timed out. Returns `None` if its outcome was already reported. A late reply is
     /// still matched to the call and then dropped.
     pub fn expire_call(&self, id: CallId, now: Millis) -> Option<CompletedCall> {
--- a/src/net/discovery/list_fetch.rs
+++ b/src/net/discovery/list_fetch.rs
@@ -2,6 +2,7 @@
 
 use super::connect::Connect;
 use super::error::DiscoveryError;
+use super::requests::COMPLETE_LIST_PATH;
 use super::response::ResponseStream;
 use super::timing::MAX_RESPONSE_TIME;
 use std::future::pending;
@@ -9,8 +10,6 @@
 use tokio::task::{JoinError, JoinHandle};
 use tokio::time::{sleep, timeout};
 
-/// Path of the complete list.
-pub(super) const COMPLETE_LIST_PATH: &str = "/v1/servers";
 /// Pause after a failed request, so that an agent that answers with errors does not get requests in a busy
 /// loop.
 const RETRY_DELAY: Duration = Duration::from_millis(500);
--- a/src/net/discovery/requests.rs
+++ b/src/net/discovery/requests.rs
@@ -12,7 +12,6 @@
 
 use super::connect::Connect;
 use super::error::DiscoveryError;
-use super::list_fetch::COMPLETE_LIST_PATH;
 use super::response::{ReceiveProgress, ResponseStream};
 use super::timing::{RequestTiming, MAX_RESPONSE_TIME, OBJECT_TIMEOUT, STALL_TIMEOUT};
 use std::collections::VecDeque;
@@ -22,6 +21,8 @@
 use tokio::task::{AbortHandle, JoinSet};
 use tokio::time::{timeout, timeout_at, Instant};
 
+/// Path of the complete list.
+pub(super) const COMPLETE_LIST_PATH: &str = "/v1/servers";
 /// Maximum number of requests without a response head. `net::connection_limits` reserves their descriptors.
 const MAX_UNANSWERED: usize = 4;
 /// Upper limit of the time after which a request without a response head is repeated. An agent that was slow
--- a/src/net/event_loop.rs
+++ b/src/net/event_loop.rs
@@ -301,6 +301,16 @@
         }
     }
 
+    /// Whether a timer still has an effect when it fires.
+    fn timer_applies(&self, kind: TimerKind) -> bool {
+        match kind {
+            TimerKind::Attempt(attempt) => self.requests.borrow().is_in_flight(attempt),
+            TimerKind::Deadline(id) => self.requests.borrow().waiting_client(id).is_some(),
+            TimerKind::CounterCall(call) => self.counter.is_pending(call),
+            TimerKind::Policy(_) | TimerKind::ConnectionCheck => true,
+        }
+    }
+
     fn counter_call_timed_out(self: &Rc<Self>, call: u64) {
         if let Some(CompletedCall { key, elapsed }) = self.counter.expire_call(call, self.now()) {
             self.dispatch(Event::CounterReplied { key, outcome: Outcome::TimedOut, elapsed, total: 0.0 });
--- a/src/net/event_loop/requests.rs
+++ b/src/net/event_loop/requests.rs
@@ -39,6 +39,7 @@
         let repeat_window = class.and_then(|class| class.idempotency.repeat_window());
         let (pending, answer) = PendingRequest::new(forwarded_request, client, deadline, repeat_window);
         let id = self.requests.borrow_mut().insert(pending);
+        self.timers.clean_up(|kind| self.timer_applies(kind));
         self.timers.arm(deadline - DEADLINE_MARGIN, TimerKind::Deadline(id));
         request.id = id;
         request.time_left = (request.time_left - RESPONSE_MARGIN).max(1.0);
--- a/src/net/timer_queue.rs
+++ b/src/net/timer_queue.rs
@@ -3,7 +3,7 @@
 use super::clock::Clock;
 use super::request_table::AttemptId;
 use crate::ids::{Millis, RequestId};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 use tokio::sync::Notify;
@@ -41,11 +41,16 @@
     kind: TimerKind,
 }
 
+/// Number of timers up to which the queue keeps timers that no longer apply.
+const MIN_CLEANUP_LENGTH: usize = 1024;
+
 /// The armed timers. A timer cannot be disarmed, so the code that handles a fired timer has to check whether
-/// the timer still applies.
+/// the timer still applies. Timers that no longer apply are removed by [`TimerQueue::clean_up`].
 #[derive(Default)]
 pub struct TimerQueue {
     timers: RefCell<BinaryHeap<Reverse<Timer>>>,
+    /// Number of timers after the last cleanup.
+    cleaned_up_length: Cell<usize>,
     /// Wakes [`next`](TimerQueue::next) when a newly armed timer is due before all others.
     earlier_timer: Notify,
 }
@@ -60,6 +65,20 @@
         self.timers.borrow_mut().push(Reverse(Timer { due, kind }));
     }
 
+    /// Removes the timers for which `applies` returns false, if the number of timers has at least doubled since
+    /// the last cleanup. The cost per timer is therefore constant.
+    ///
+    /// Without this, a request that is answered at once would leave its timers in the queue until its deadline,
+    /// and a client that sends such requests at full speed would fill the memory with them.
+    pub fn clean_up(&self, applies: impl Fn(TimerKind) -> bool) {
+        let mut timers = self.timers.borrow_mut();
+        if timers.len() >= MIN_CLEANUP_LENGTH.max(2 * self.cleaned_up_length.get()) {
+            timers.retain(|Reverse(timer)| applies(timer.kind));
+            timers.shrink_to(MIN_CLEANUP_LENGTH);
+            self.cleaned_up_length.set(timers.len());
+        }
+    }
+
     /// Waits until a timer is due, removes it and returns its kind. Only one caller may wait at a time.
     pub async fn next(&self, clock: &Clock) -> TimerKind {
         loop {
--- a/tests/unit/timer_queue.rs
+++ b/tests/unit/timer_queue.rs
@@ -37,3 +37,20 @@
     let (fired, ()) = tokio::join!(timers.next(&clock), arm_earlier);
     assert_eq!(fired, TimerKind::Policy(1));
 }
+
+/// Regression test for an incident: the timers of requests that were answered at once stayed in the queue until
+/// the deadlines of the requests.
+#[tokio::test]
+async fn timers_that_no_longer_apply_do_not_accumulate() {
+    const TIMERS: u32 = 1_000_000;
+    const REMAINING: TimerKind = TimerKind::Deadline(RequestId(TIMERS));
+    let clock = Clock::start();
+    let timers = TimerQueue::default();
+    timers.arm(clock.now() + 1.0, REMAINING);
+    for id in 0..TIMERS {
+        timers.clean_up(|kind| kind == REMAINING);
+        timers.arm(clock.now() + 60_000.0, TimerKind::Deadline(RequestId(id)));
+        assert!(timers.timers.borrow().len() <= MIN_CLEANUP_LENGTH, "timers accumulate");
+    }
+    assert_eq!(timers.next(&clock).await, REMAINING);
+}
