Limit the number of tenants by the memory limit and replace those without effect

Memory rose to 270 MB, and usual clients waited up to 0.4 s and ever longer.

Cause: a tenant's state of 1 KB is kept for 30 s even if its only request was rejected at once; eviction examines 1,600 tenants a second, some 45,000 came; each housekeeping run goes through all with units to send.

Change: Gateway::with_max_tenants, set from the memory limit. At the limit a new tenant replaces tenants without open requests whose buckets have refilled since they were last forwarded; if there is none, its request is rejected with Retry-After.

--- a/src/net/connection_limits.rs
+++ b/src/net/connection_limits.rs
@@ -1,4 +1,5 @@
-//! Derives the maximum number of connections from the file descriptor and memory limits of the process.
+//! Derives the maximum numbers of connections and of tenants from the file descriptor and memory limits of the
+//! process.
 
 use crate::config::Limits;
 
@@ -14,11 +15,18 @@
 /// Memory, MB, that one connection uses in the worst case, for its buffers, one request body and one response
 /// body.
 const CONNECTION_MEMORY_MB: f64 = 0.16;
+/// Share of the memory limit that the state of tenants may use.
+const TENANT_MEMORY_SHARE: f64 = 0.2;
+/// Memory, MB, that the state of one tenant uses, with its entries in the policy's indexes.
+const TENANT_MEMORY_MB: f64 = 0.0012;
 /// Minimum of the combined limit for client and server connections, even if the process limits are lower.
 const MIN_CONNECTIONS: usize = 16;
 /// Maximum of the combined limit for client and server connections, even if the process limits are higher.
 const MAX_CONNECTIONS: usize = 4096;
 
+/// Minimum of the limit on tenants, even if the memory limit is lower.
+const MIN_TENANTS: f64 = 256.0;
+
 /// The maximum numbers of connections that may be open at the same time.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ConnectionLimits {
@@ -39,6 +47,12 @@
     }
 }
 
+/// Calculates the maximum number of tenants that the policy may keep state for from the memory that the process
+/// may use.
+pub fn max_tenants(limits: Limits) -> usize {
+    (limits.memory_mb * TENANT_MEMORY_SHARE / TENANT_MEMORY_MB).max(MIN_TENANTS) as usize
+}
+
 #[cfg(test)]
 #[path = "../../tests/unit/connection_limits.rs"]
 mod tests;
--- a/src/net/event_loop.rs
+++ b/src/net/event_loop.rs
@@ -7,6 +7,7 @@
 
 use super::cached_list::CachedList;
 use super::clock::Clock;
+use super::connection_limits::max_tenants;
 use super::counter::{CompletedCall, CounterClient, Increment};
 use super::discovery::{EndpointList, EndpointSink};
 use super::endpoint_registry::EndpointRegistry;
@@ -81,7 +82,8 @@
     /// with the cached endpoint list in the configuration, if there is one.
     pub fn new(config: &Config, max_upstream_connections: usize) -> Rc<Self> {
         let counter_call_timeout = counter_call_timeout(&config.settings);
-        let gateway = Gateway::new(config.settings.clone(), config.seed);
+        let gateway =
+            Gateway::new(config.settings.clone(), config.seed).with_max_tenants(max_tenants(config.limits));
         let clock = Clock::start();
         let event_loop = Rc::new(EventLoop {
             clock,
--- a/src/policy/gateway.rs
+++ b/src/policy/gateway.rs
@@ -30,6 +30,8 @@
     pub(super) started_at: Option<Millis>,
     pub(super) selector: EndpointSelector,
     pub(super) tenants: BTreeMap<TenantId, Tenant>,
+    /// Maximum number of tenants that the gateway keeps state for.
+    max_tenants: usize,
     /// Tenants that may have units to send to the counter. Each housekeeping run checks all of them.
     pub(super) unsynced_tenants: BTreeSet<TenantId>,
     pub(super) eviction_cursor: EvictionCursor,
@@ -63,6 +65,7 @@
             rng,
             started_at: None,
             tenants: BTreeMap::new(),
+            max_tenants: usize::MAX,
             unsynced_tenants: BTreeSet::new(),
             eviction_cursor: EvictionCursor::default(),
             counter_calls: BTreeMap::new(),
@@ -75,6 +78,14 @@
         }
     }
 
+    /// Limits the number of tenants that the gateway keeps state for. When it is reached, the gateway evicts
+    /// tenants whose state matters least, and rejects requests of new tenants if there are none. Without this
+    /// call the number is not limited.
+    pub fn with_max_tenants(mut self, max_tenants: usize) -> Self {
+        self.max_tenants = max_tenants;
+        self
+    }
+
     /// Number of tenants that the gateway keeps state for.
     pub fn tenant_count(&self) -> usize {
         self.tenants.len()
@@ -128,13 +139,27 @@
 
     fn run_housekeeping(&mut self, now: Millis) {
         self.schedule_housekeeping();
-        self.eviction_cursor.evict_idle(now, &mut self.tenants, &mut self.unsynced_tenants);
+        self.evict_tenants(|tenant| tenant.is_evictable(now));
         for tenant in self.unsynced_tenants.iter().copied().collect::<Vec<_>>() {
             self.sync_counter(now, tenant);
         }
         self.send_hedged_requests(now);
     }
 
+    /// Evicts the tenants of the next eviction batch for which `is_evictable` returns true.
+    fn evict_tenants(&mut self, is_evictable: impl Fn(&Tenant) -> bool) {
+        self.eviction_cursor.evict(&mut self.tenants, &mut self.unsynced_tenants, is_evictable);
+    }
+
+    /// Whether there is room for the state of another tenant. If the maximum number is reached, this evicts
+    /// tenants whose state has no effect on what their plans allow.
+    pub(super) fn make_room_for_tenant(&mut self, now: Millis) -> bool {
+        if self.tenants.len() >= self.max_tenants {
+            self.evict_tenants(|tenant| tenant.is_replaceable(now));
+        }
+        self.tenants.len() < self.max_tenants
+    }
+
     fn endpoints_changed(&mut self, now: Millis, update: EndpointUpdate, entries: Vec<Endpoint>) {
         if update == EndpointUpdate::Failed {
             self.actions.push(Action::WatchEndpoints);
--- a/src/policy/housekeeping.rs
+++ b/src/policy/housekeeping.rs
@@ -7,24 +7,24 @@
 
 /// Period of the housekeeping timer, ms. The period is short compared with the usual latency objectives.
 pub(super) const HOUSEKEEPING_INTERVAL: Millis = 20.0;
-/// Maximum number of tenants that one housekeeping run examines for eviction. The bound keeps a run short,
-/// however many tenants there are.
+/// Maximum number of tenants that one housekeeping run, or one new tenant without room, examines for eviction.
+/// The bound keeps this short, however many tenants there are.
 const EVICTION_BATCH: usize = 32;
 
-/// Position at which the next housekeeping run continues the search for idle tenants.
+/// Position at which the search for evictable tenants continues.
 #[derive(Default)]
 pub(super) struct EvictionCursor {
-    /// The lowest tenant id that the next run examines.
+    /// The lowest tenant id that is examined next.
     next_tenant: TenantId,
 }
 
 impl EvictionCursor {
-    /// Examines the next batch of tenants and evicts those that have been idle for long enough.
-    pub(super) fn evict_idle(
+    /// Examines the next batch of tenants and evicts those for which `is_evictable` returns true.
+    pub(super) fn evict(
         &mut self,
-        now: Millis,
         tenants: &mut BTreeMap<TenantId, Tenant>,
         unsynced_tenants: &mut BTreeSet<TenantId>,
+        is_evictable: impl Fn(&Tenant) -> bool,
     ) {
         let batch: Vec<TenantId> =
             tenants.range(self.next_tenant..).take(EVICTION_BATCH).map(|(id, _)| *id).collect();
@@ -34,7 +34,7 @@
             _ => TenantId(0),
         };
         for id in batch {
-            if tenants.get(&id).is_some_and(|tenant| tenant.is_evictable(now)) {
+            if tenants.get(&id).is_some_and(&is_evictable) {
                 tenants.remove(&id);
                 unsynced_tenants.remove(&id);
             }
--- a/src/policy/request_lifecycle.rs
+++ b/src/policy/request_lifecycle.rs
@@ -44,8 +44,13 @@
         let class = self.settings.classes.get(request.class.0).cloned().unwrap_or_default();
         let id = request.id;
         let tenant_id = request.tenant;
-        self.mark_tenant_seen(now, &request);
+        let is_tenant_known = self.record_arrival_of_tenant(now, &request);
         let mut tracked = TrackedRequest::new(now, request, class);
+        if !is_tenant_known {
+            self.requests.insert(id, tracked);
+            self.reject_or_fail(now, id);
+            return;
+        }
         let arrived_too_late = self.arrived_too_late(now, &mut tracked);
         if !arrived_too_late {
             self.reserve_on_counter(now, &mut tracked);
@@ -76,17 +81,25 @@
         class_latency.is_some_and(|latency| rules_out(latency, now, tracked, time_left, MEANS_TO_FORWARD))
     }
 
-    /// Creates the state of the request's tenant if there is none, and sets the time of the tenant's last
-    /// request.
-    fn mark_tenant_seen(&mut self, now: Millis, request: &Request) {
+    /// Records the arrival of a request in the state of its tenant, and creates the state if there is none.
+    /// Returns false if there is no room for it.
+    fn record_arrival_of_tenant(&mut self, now: Millis, request: &Request) -> bool {
+        if !self.tenants.contains_key(&request.tenant) {
+            if !self.make_room_for_tenant(now) {
+                return false;
+            }
+            let tenant = self.new_tenant(now, request);
+            self.tenants.insert(request.tenant, tenant);
+        }
+        let tenant = self.tenants.get_mut(&request.tenant);
+        tenant.map(|tenant| tenant.request_arrived(now)).is_some()
+    }
+
+    fn new_tenant(&self, now: Millis, request: &Request) -> Tenant {
         let plan = self.settings.plans.get(request.plan.0).cloned().unwrap_or_default();
         let max_units = self.settings.max_units.max(1.0);
         let started_at = self.started_at.unwrap_or(now);
-        let tenant = self
-            .tenants
-            .entry(request.tenant)
-            .or_insert_with(|| Tenant::new(plan, request.gateway_count, max_units, started_at, now));
-        tenant.mark_seen(now);
+        Tenant::new(plan, request.gateway_count, max_units, started_at, now)
     }
 
     /// Forwards, queues or rejects a request that has not been forwarded yet.
@@ -263,7 +276,9 @@
     /// most `max_retry_after`, the longest time that clients obey.
     fn retry_after(&self, tracked: &TrackedRequest) -> Millis {
         let request = &tracked.request;
-        let Some(tenant) = self.tenants.get(&request.tenant) else { return 0.0 };
+        let Some(tenant) = self.tenants.get(&request.tenant) else {
+            return self.settings.max_retry_after;
+        };
         let wait = tenant.time_until_admission(request.units).max(self.class_latency(request.class));
         wait.min(self.settings.max_retry_after)
     }
@@ -273,7 +288,11 @@
     /// forwarded. The request is removed once none of its attempts is in flight.
     pub(super) fn finish(&mut self, now: Millis, id: RequestId) {
         let Some(tracked) = self.requests.get_mut(&id) else { return };
-        tracked.finished = true;
+        if !std::mem::replace(&mut tracked.finished, true) {
+            if let Some(tenant) = self.tenants.get_mut(&tracked.request.tenant) {
+                tenant.request_finished();
+            }
+        }
         if self.settings.cancellation_allowed && !tracked.response_started {
             for (index, _) in tracked.attempts.iter().enumerate().filter(|(_, attempt)| attempt.in_flight) {
                 self.actions.push(Action::Cancel { id, attempt: index as u8 });
--- a/src/policy/tenant.rs
+++ b/src/policy/tenant.rs
@@ -38,6 +38,10 @@
     /// Number of gateways that receive the tenant's requests; at least 1.
     gateway_count: f64,
     last_seen: Millis,
+    /// When a request of the tenant was last forwarded; `None` if none was.
+    last_forwarded: Option<Millis>,
+    /// Number of the tenant's requests that have no final answer.
+    open_requests: u32,
     /// Number of the tenant's attempts that this gateway has in flight.
     in_flight: f64,
     pub(super) ceiling: CeilingBucket,
@@ -70,6 +74,8 @@
             plan,
             gateway_count,
             last_seen: now,
+            last_forwarded: None,
+            open_requests: 0,
             in_flight: 0.0,
             ceiling,
             refilled_at: started_at,
@@ -88,8 +94,15 @@
         self.has_quota() || self.plan.ceiling_rate > 0.0
     }
 
-    pub(super) fn mark_seen(&mut self, now: Millis) {
+    /// Records that a request of the tenant has arrived.
+    pub(super) fn request_arrived(&mut self, now: Millis) {
         self.last_seen = now;
+        self.open_requests += 1;
+    }
+
+    /// Records that a request of the tenant has its final answer or that its client has disconnected.
+    pub(super) fn request_finished(&mut self) {
+        self.open_requests = self.open_requests.saturating_sub(1);
     }
 
     /// Advances the sliding window of the quota, if there is one, and refills the token buckets up to `now`.
@@ -116,6 +129,7 @@
     ) {
         if disposition == Disposition::Forwarded {
             self.ceiling.spend(units);
+            self.last_forwarded = Some(now);
         }
         let has_quota = self.has_quota();
         match &mut self.usage {
@@ -156,13 +170,29 @@
     /// Whether the tenant's state can be dropped: the tenant has been idle for long enough, its buckets have
     /// refilled, and none of its attempts or counter calls is in flight.
     pub(super) fn is_evictable(&self, now: Millis) -> bool {
+        let required_idle_time = self.refill_time().max(EVICT_IDLE_AFTER);
+        now - self.last_seen >= required_idle_time && self.in_flight <= 0.0 && !self.has_pending_calls()
+    }
+
+    /// Whether the tenant's state can be dropped when there is no room for another tenant: it has no open
+    /// request, and its buckets have refilled since a request of the tenant was last forwarded. A client that
+    /// sends requests of ever new tenants can then replace its own tenants, but not those that use their quota.
+    pub(super) fn is_replaceable(&self, now: Millis) -> bool {
+        let is_refilled = self.last_forwarded.is_none_or(|last| now - last >= self.refill_time());
+        is_refilled && self.open_requests == 0 && self.in_flight <= 0.0 && !self.has_pending_calls()
+    }
+
+    /// Time in which the buckets of the quota and the ceiling refill, ms.
+    fn refill_time(&self) -> Millis {
         let quota_refill = if self.has_quota() { 1000.0 * self.plan.burst / self.plan.rate } else { 0.0 };
-        let required_idle_time = quota_refill.max(self.ceiling.refill_time()).max(EVICT_IDLE_AFTER);
-        let has_pending_calls = match &self.usage {
+        quota_refill.max(self.ceiling.refill_time())
+    }
+
+    fn has_pending_calls(&self) -> bool {
+        match &self.usage {
             Usage::Batched(usage) => usage.has_pending_calls(),
             Usage::LowTraffic(usage) => usage.has_pending_calls(),
-        };
-        now - self.last_seen >= required_idle_time && self.in_flight <= 0.0 && !has_pending_calls
+        }
     }
 }
 
--- a/tests/hostile_clients.rs
+++ b/tests/hostile_clients.rs
@@ -149,3 +149,61 @@
     }
     limited.assert_within_memory_limit();
 }
+
+/// Number of requests that a flooding client writes at once.
+const FLOOD_BATCH: usize = 100;
+/// Time for which a client floods the gateway.
+const FLOOD_DURATION: Duration = Duration::from_secs(3);
+/// Longest time that a usual client may wait for its answer.
+const MAX_RESPONSE_TIME: Duration = Duration::from_millis(500);
+
+/// Requests of the class `look`, each of a tenant that has not sent one before, with too little time left to be
+/// forwarded.
+fn late_requests_of_new_tenants(first_number: usize) -> Vec<u8> {
+    let request = |number| {
+        format!(
+            "GET /look?customer={number:016x} HTTP/1.1\r\nHost: x\r\nX-Correlation-Id: flood-{number}\r\n\
+             X-Service-Class: look\r\nX-Plan: team\r\nX-Time-Left: 0.001\r\nX-Quota: units=1,spread=2,first=0\r\n\r\n"
+        )
+    };
+    (first_number..first_number + FLOOD_BATCH).map(request).collect::<String>().into_bytes()
+}
+
+/// Writes requests on one connection at full speed and reads the answers. Returns the number of requests.
+fn flood(mut stream: TcpStream) -> JoinHandle<usize> {
+    std::thread::spawn(move || {
+        let mut reader = stream.try_clone().expect("the socket could not be cloned");
+        let reading = std::thread::spawn(move || std::io::copy(&mut reader, &mut std::io::sink()));
+        let end = Instant::now() + FLOOD_DURATION;
+        let mut number = 1_000;
+        while Instant::now() < end {
+            stream
+                .write_all(&late_requests_of_new_tenants(number))
+                .expect("the gateway closed the connection");
+            number += FLOOD_BATCH;
+        }
+        drop(stream.shutdown(std::net::Shutdown::Both));
+        let _ = reading.join();
+        number
+    })
+}
+
+/// Regression test for an incident: while one client sent small requests of ever new tenants at full speed, the
+/// memory grew without end, and the other clients waited longer and longer for their answers.
+#[test]
+fn a_flood_of_ever_new_tenants_on_one_connection_neither_fills_the_memory_nor_delays_other_clients() {
+    let server = Server::ok();
+    let limited = LimitedGateway::start(&server);
+    let flood = flood(limited.connect());
+    let mut client = limited.gateway.client();
+    let mut longest = Duration::ZERO;
+    while !flood.is_finished() {
+        let sent_at = Instant::now();
+        assert_eq!(client.get_idempotent().status(), 200);
+        longest = longest.max(sent_at.elapsed());
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    println!("{} requests, answers within {longest:?}", flood.join().expect("the flood panicked"));
+    assert!(longest < MAX_RESPONSE_TIME, "an answer took {longest:?}");
+    limited.assert_within_memory_limit();
+}
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -14,3 +14,5 @@
 #[allow(dead_code)] // each test binary uses only some of it
 #[path = "support/simulation.rs"]
 mod simulation;
+#[path = "policy/tenants.rs"]
+mod tenants;
--- a/tests/unit/connection_limits.rs
+++ b/tests/unit/connection_limits.rs
@@ -25,3 +25,11 @@
     assert_eq!(total_connections(1024, f64::NAN), 16);
     assert_eq!(total_connections(1 << 20, 1e9), 4096);
 }
+
+#[test]
+fn the_number_of_tenants_is_limited_by_memory() {
+    let tenants = |memory_mb| max_tenants(Limits { sockets: 1024, memory_mb });
+    assert_eq!(tenants(192.0), 32_000);
+    assert_eq!(tenants(0.0), 256);
+    assert_eq!(tenants(f64::NAN), 256);
+}
