Refuse an id that must not run twice after its request was forwarded

Cause: InFlightIds refused an id only while its request was in flight at the gateway, and freed it when the client left.

The flag is set before the first byte is written and cleared if the request is rejected.

--- a/src/net/client/mod.rs
+++ b/src/net/client/mod.rs
@@ -9,12 +9,12 @@
 mod connection;
 mod connection_table;
 mod connection_task;
+mod correlation_ids;
 mod disconnect;
 mod eviction;
 mod head_counter;
 mod headers;
 mod idle_reaper;
-mod in_flight_ids;
 mod instrumented_stream;
 mod listener;
 mod quota_header;
--- a/src/net/client/request_error.rs
+++ b/src/net/client/request_error.rs
@@ -44,6 +44,8 @@
     BodyTimeout,
     /// Another request with this correlation id is in flight.
     CorrelationIdInFlight,
+    /// A request with this correlation id that must not be executed twice has been forwarded.
+    CorrelationIdForwarded,
 }
 
 impl RequestError {
@@ -55,7 +57,9 @@
             RequestError::MethodNotAllowed => StatusCode::METHOD_NOT_ALLOWED,
             RequestError::BodyTooLong => StatusCode::PAYLOAD_TOO_LARGE,
             RequestError::BodyTimeout => StatusCode::REQUEST_TIMEOUT,
-            RequestError::CorrelationIdInFlight => StatusCode::CONFLICT,
+            RequestError::CorrelationIdInFlight | RequestError::CorrelationIdForwarded => {
+                StatusCode::CONFLICT
+            }
             RequestError::DuplicateHeader
             | RequestError::HeaderNotAscii
             | RequestError::ClassMismatch
@@ -92,6 +96,7 @@
             RequestError::IncompleteBody => "the body is not whole\n",
             RequestError::BodyTimeout => "the body takes too long\n",
             RequestError::CorrelationIdInFlight => "a request of this name is open\n",
+            RequestError::CorrelationIdForwarded => "a request with this id has been forwarded before\n",
         }
     }
 }
--- a/src/net/client/request_handler.rs
+++ b/src/net/client/request_handler.rs
@@ -2,8 +2,8 @@
 //! response.
 
 use super::connection::Connection;
+use super::correlation_ids::CorrelationIds;
 use super::disconnect::DisconnectGuard;
-use super::in_flight_ids::InFlightIds;
 use super::request_body::read_body;
 use super::request_error::RequestError;
 use super::request_parser::{check_body, check_framing, origin_form, validate_head};
@@ -12,7 +12,7 @@
 use crate::net::socket::is_closed_by_peer;
 use crate::net::upstream::ForwardedRequest;
 use hyper::body::Incoming;
-use hyper::Request;
+use hyper::{Method, Request};
 use std::cell::Cell;
 use std::rc::Rc;
 
@@ -22,7 +22,7 @@
 /// Handles the requests of all client connections.
 pub struct RequestHandler {
     event_loop: Rc<EventLoop>,
-    in_flight_ids: InFlightIds,
+    correlation_ids: CorrelationIds,
     draining: Cell<bool>,
     rejecting_new_requests: Cell<bool>,
     saturated: Cell<bool>,
@@ -33,7 +33,7 @@
     pub fn new(event_loop: Rc<EventLoop>) -> Self {
         RequestHandler {
             event_loop,
-            in_flight_ids: InFlightIds::default(),
+            correlation_ids: CorrelationIds::default(),
             draining: Cell::new(false),
             rejecting_new_requests: Cell::new(false),
             saturated: Cell::new(false),
@@ -98,7 +98,8 @@
             let retry_after = time_until_ready.min(self.event_loop.settings().max_retry_after);
             return Ok(response::starting(retry_after));
         }
-        let _in_flight_id_guard = self.in_flight_ids.reserve(validated.correlation_id)?;
+        let repeatable = head.method == Method::GET;
+        let id_guard = self.correlation_ids.reserve(validated.correlation_id, repeatable)?;
         let forwarded_request = ForwardedRequest {
             method: head.method,
             uri: origin_form(head.uri),
@@ -106,13 +107,17 @@
             body,
         };
         connection.record_received_request(self.event_loop.now());
-        let client = Rc::downgrade(connection.stream());
-        let answer = self
-            .submit_and_wait(
-                IncomingRequest { request: validated.request, forwarded_request, client },
-                connection,
-            )
-            .await;
+        let incoming = IncomingRequest {
+            request: validated.request,
+            forwarded_request,
+            client: Rc::downgrade(connection.stream()),
+            forwarded: id_guard.forwarded().clone(),
+        };
+        let answer = self.submit_and_wait(incoming, connection).await;
+        if matches!(answer, Answer::Rejected { .. }) {
+            // No server has executed the request, so the client may send it again.
+            id_guard.forwarded().clear();
+        }
         Ok(response::from_answer(answer))
     }
 
@@ -126,7 +131,8 @@
             // The event loop noticed the disconnect before the connection's task did, and dropped the sender.
             // The connection's task will drop this future as well.
             Err(_) if is_closed_by_peer(connection.stream()) => std::future::pending().await,
-            // It is a bug if the sender is dropped for any other reason; the client still gets a response.
+            // The client has sent too much behind its request for its disconnect to be noticed, or there is a
+            // bug. The client gets a response if it is still there.
             Err(_) => Answer::Failed,
         };
         disconnect_guard.disarm();
--- a/src/net/event_loop.rs
+++ b/src/net/event_loop.rs
@@ -339,6 +339,10 @@
         EventLoop::check_may_begin(self, id, attempt_number, server)
     }
 
+    fn attempt_begins(&self, id: RequestId) {
+        self.requests.borrow().record_forwarded(id);
+    }
+
     fn accepts_requests(&self, server: ServerId) -> bool {
         EventLoop::accepts_requests(self, server)
     }
--- a/src/net/event_loop/requests.rs
+++ b/src/net/event_loop/requests.rs
@@ -3,7 +3,7 @@
 use super::{Answer, EventLoop};
 use crate::event::{Event, Request};
 use crate::ids::{Millis, RequestId};
-use crate::net::request_table::PendingRequest;
+use crate::net::request_table::{ForwardedFlag, PendingRequest};
 use crate::net::timer_queue::TimerKind;
 use crate::net::upstream::ForwardedRequest;
 use std::rc::{Rc, Weak};
@@ -27,17 +27,20 @@
     /// The client's connection. The reference is weak, so that the connection closes as soon as the task that
     /// serves it ends.
     pub client: Weak<TcpStream>,
+    /// Set when the first byte of the request is about to be written to a server.
+    pub forwarded: ForwardedFlag,
 }
 
 impl EventLoop {
     /// Registers a request and passes it to the policy. Returns the request's new id and the channel for its
     /// answer. Exactly one answer is sent on the channel, unless the client disconnects first.
     pub fn submit(self: &Rc<Self>, incoming: IncomingRequest) -> (RequestId, oneshot::Receiver<Answer>) {
-        let IncomingRequest { mut request, forwarded_request, client } = incoming;
+        let IncomingRequest { mut request, forwarded_request, client, forwarded } = incoming;
         let deadline = self.now() + request.time_left;
         let class = self.settings.classes.get(request.class.0);
         let repeat_window = class.and_then(|class| class.idempotency.repeat_window());
-        let (pending, answer) = PendingRequest::new(forwarded_request, client, deadline, repeat_window);
+        let (pending, answer) =
+            PendingRequest::new(forwarded_request, client, forwarded, deadline, repeat_window);
         let id = self.requests.borrow_mut().insert(pending);
         self.timers.clean_up(|kind| self.timer_applies(kind));
         self.timers.arm(deadline - DEADLINE_MARGIN, TimerKind::Deadline(id));
--- a/src/net/request_table.rs
+++ b/src/net/request_table.rs
@@ -4,6 +4,7 @@
 use crate::event::{Event, Outcome};
 use crate::ids::{Millis, RequestId, ServerId};
 use bytes::Bytes;
+use std::cell::Cell;
 use std::collections::HashMap;
 use std::rc::{Rc, Weak};
 use tokio::net::TcpStream;
@@ -28,6 +29,28 @@
     TimedOut,
 }
 
+/// Whether any byte of a request may have been written to a server. The request table and the task that serves
+/// the client share the flag, because the request may leave the table first.
+#[derive(Clone, Debug, Default)]
+pub struct ForwardedFlag(Rc<Cell<bool>>);
+
+impl ForwardedFlag {
+    /// Records that a byte of the request is about to be written.
+    pub fn set(&self) {
+        self.0.set(true);
+    }
+
+    /// Records that no server has executed the request.
+    pub fn clear(&self) {
+        self.0.set(false);
+    }
+
+    /// Whether the flag is set.
+    pub fn is_set(&self) -> bool {
+        self.0.get()
+    }
+}
+
 /// Identifies one attempt of one request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct AttemptId {
@@ -46,6 +69,7 @@
     pub forwarded_request: Rc<ForwardedRequest>,
     /// The client's connection. The reference cannot be upgraded once the connection is closed.
     pub client: Weak<TcpStream>,
+    forwarded: ForwardedFlag,
     /// The Unix time, ms, at which the client stops waiting.
     pub deadline: Millis,
     /// Time, ms, from the start of the first attempt that a server may have executed, after which no further
@@ -72,6 +96,7 @@
     pub fn new(
         forwarded_request: ForwardedRequest,
         client: Weak<TcpStream>,
+        forwarded: ForwardedFlag,
         deadline: Millis,
         repeat_window: Option<Millis>,
     ) -> (Self, oneshot::Receiver<Answer>) {
@@ -80,6 +105,7 @@
             responder: Some(responder),
             forwarded_request: Rc::new(forwarded_request),
             client,
+            forwarded,
             deadline,
             repeat_window,
             attempts: Vec::new(),
@@ -159,6 +185,13 @@
         Some(request.client.clone())
     }
 
+    /// Records that the first byte of an attempt is about to be written to a server.
+    pub fn record_forwarded(&self, id: RequestId) {
+        if let Some(request) = self.requests.get(&id) {
+            request.forwarded.set();
+        }
+    }
+
     /// Whether an attempt may begin at `now` without being executed again by servers that have forgotten the
     /// request's idempotency key. False if the request is unknown.
     pub fn is_in_repeat_window(&self, id: AttemptId, now: Millis) -> bool {
--- a/src/net/upstream/attempt.rs
+++ b/src/net/upstream/attempt.rs
@@ -25,6 +25,9 @@
     /// The outcome of the attempt if it may not begin.
     fn check_may_begin(&self, id: RequestId, attempt_number: u8, server: ServerId) -> Result<(), Outcome>;
 
+    /// Records that the first byte of an attempt is about to be written.
+    fn attempt_begins(&self, id: RequestId);
+
     /// Whether new requests may be sent to a server; false, for example, for a draining server.
     fn accepts_requests(&self, server: ServerId) -> bool;
 
@@ -163,7 +166,13 @@
 ) -> Result<Response<Incoming>, SendError> {
     connection.sender.ready().await.map_err(|_| SendError::Closed)?;
     let (owner_for_check, id, number, server) = (owner.clone(), spec.id, spec.number, spec.server);
-    let may_begin = move || owner_for_check.check_may_begin(id, number, server).is_ok();
+    let may_begin = move || {
+        let may_begin = owner_for_check.check_may_begin(id, number, server).is_ok();
+        if may_begin {
+            owner_for_check.attempt_begins(id);
+        }
+        may_begin
+    };
     connection.exchange.begin(Box::new(may_begin));
     // Computed after the connection is open, because opening it may have used much of the attempt's time.
     let time_left = spec.timeout_at - owner.now();
--- a/tests/end_to_end/client_requests.rs
+++ b/tests/end_to_end/client_requests.rs
@@ -247,3 +247,65 @@
         "the gateway has exited"
     );
 }
+
+/// The head of a request that must not be executed twice, with the empty line that ends it.
+const NON_IDEMPOTENT_HEAD: &str =
+    "POST /once?customer=00000000b4d65521 HTTP/1.1\r\nHost: x\r\nX-Correlation-Id: b2\r\n\
+    X-Service-Class: once\r\nX-Plan: team\r\nX-Time-Left: 1.9\r\nX-Quota: units=1,spread=2,first=0\r\n\
+    Content-Length: 2\r\n\r\n{}";
+
+/// Regression test for an incident: a client leaves while a server executes its request, which must not be
+/// executed twice. The same request under the same id was forwarded again.
+#[test]
+fn a_request_that_must_not_be_executed_twice_is_not_forwarded_again_after_its_client_has_left() {
+    let gate = Gate::default();
+    let server_gate = gate.clone();
+    let server = Server::start(move |_| {
+        server_gate.wait();
+        StubResponse::Write(ok_response(b"executed"))
+    });
+    let (gateway, _discovery, _counter) = start_gateway(&[&server]);
+    let mut first = gateway.client();
+    first.stream.write_all(NON_IDEMPOTENT_HEAD.as_bytes()).expect("send failed");
+    eventually("the server receives the attempt", || server.request_count() == 1);
+    drop(first);
+    std::thread::sleep(Duration::from_millis(5));
+    let repeated = gateway.client().exchange_bytes(NON_IDEMPOTENT_HEAD.as_bytes()).expect("no response");
+    gate.open();
+    assert_eq!(repeated.status(), 409);
+    assert_eq!(server.request_count(), 1, "the request was forwarded again");
+    // A request under another id is served.
+    assert_eq!(gateway.client().post_non_idempotent("1.9").status(), 200);
+}
+
+/// Regression test for an incident: a client closes its connection with so much still unread that the kernel
+/// cannot deliver the close. When the first server turned the request away, it was sent to another one.
+#[test]
+fn a_request_is_not_sent_again_after_its_client_has_closed_behind_much_unread_data() {
+    const ALLOWED_DELAY: Duration = Duration::from_millis(100);
+    let gate = Gate::default();
+    let start_server = || {
+        let gate = gate.clone();
+        Server::start(move |_| {
+            gate.wait();
+            StubResponse::Write(response_bytes("503 Busy", "X-Unprocessed: 1\r\n", b""))
+        })
+    };
+    let (first, second) = (start_server(), start_server());
+    let attempts = || first.request_count() + second.request_count();
+    let (gateway, _discovery, _counter) = start_gateway(&[&first, &second]);
+    let mut client = gateway.client();
+    client.stream.write_all(NON_IDEMPOTENT_HEAD.as_bytes()).expect("send failed");
+    eventually("a server receives the attempt", || attempts() == 1);
+    client.stream.set_nonblocking(true).expect("the socket could not be made non-blocking");
+    let more = vec![b'x'; 1 << 16];
+    while client.stream.write(&more).is_ok() {}
+    drop(client);
+    std::thread::sleep(ALLOWED_DELAY);
+    gate.open();
+    assert!(
+        !holds_within(Duration::from_millis(500), || attempts() > 1),
+        "the request was sent again after its client had closed"
+    );
+    assert_eq!(gateway.client().get("/healthz", "").status(), 200);
+}
--- a/tests/unit/request_table.rs
+++ b/tests/unit/request_table.rs
@@ -13,7 +13,7 @@
         headers: HeaderMap::new(),
         body: Bytes::new(),
     };
-    PendingRequest::new(forward, Weak::new(), 1000.0, Some(REPEAT_WINDOW))
+    PendingRequest::new(forward, Weak::new(), ForwardedFlag::default(), 1000.0, Some(REPEAT_WINDOW))
 }
 
 fn start_attempt(table: &mut RequestTable, id: RequestId) -> AttemptId {
