Read the complete list of a new agent process at the old agent's address

Cause: the watch was reopened for changes after the old process's revision.

Change: after a refused connection the agent counts as another one, as after a reload: its complete list is read beside the watch, and an earlier revision opens the watch again. A silent or reset watch alone does not lead to a list.

--- a/src/net/discovery/watcher.rs
+++ b/src/net/discovery/watcher.rs
@@ -12,6 +12,7 @@
 use crate::net::supervisor::keep_running;
 use std::cell::Cell;
 use std::convert::Infallible;
+use std::io::ErrorKind;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::task::AbortHandle;
@@ -130,7 +131,8 @@
     max_object_bytes: usize,
     requests: AgentRequests<A>,
     revision: KnownRevision,
-    /// The revision of the list that another agent sent, until this agent's complete list has been received.
+    /// The revision of the list that another agent sent, or another process at this agent's address, until this
+    /// agent's complete list has been received.
     inherited_revision: Option<u64>,
     /// The request for the complete list that is compared with the inherited revision.
     list_fetch: Option<ListFetch>,
@@ -247,7 +249,7 @@
                 }
                 answer = self.requests.send(request) => answer,
             };
-            self.fetch_list_if_inherited();
+            self.fetch_list_if_inherited(&answer);
             // The agent has responded, but nothing has been received on the watch yet. An agent that does not
             // respond is down, which does not mean that its watches are stale.
             if matches!(answer, Ok(Answer::Watch(_)) | Err(DiscoveryError::UnexpectedStatus(_))) {
@@ -263,7 +265,16 @@
     /// Starts to read the agent's complete list if the list in use came from another agent. This happens only
     /// after the first result of a watch request, so that an agent that answers one request after the other
     /// opens the watch first.
-    fn fetch_list_if_inherited(&mut self) {
+    ///
+    /// If the agent's address refuses a connection, its process has ended, and the next one at this address
+    /// counts as another agent: its revisions may not be comparable.
+    fn fetch_list_if_inherited(&mut self, answer: &Result<Answer, DiscoveryError>) {
+        if let Err(DiscoveryError::Connect(error)) = answer {
+            if error.kind() == ErrorKind::ConnectionRefused {
+                self.inherited_revision = self.revision.get();
+            }
+            return;
+        }
         if self.inherited_revision.is_some() && self.list_fetch.is_none() {
             self.list_fetch = Some(ListFetch::start(&self.agent, self.max_object_bytes));
         }
--- a/tests/unit/endpoint_watcher.rs
+++ b/tests/unit/endpoint_watcher.rs
@@ -34,6 +34,8 @@
     Healthy,
     /// Sends each object steadily over almost all the time that an object may take.
     Slow,
+    /// Refuses connections and ends the open watches, as if its process had ended.
+    Refuses,
     HangsAtConnect,
     HangsAtHead,
     TricklesHead,
@@ -50,7 +52,8 @@
     SendsInvalidEntries,
 }
 
-const FAULTY_MODES: [AgentMode; 13] = [
+const FAULTY_MODES: [AgentMode; 14] = [
+    AgentMode::Refuses,
     AgentMode::HangsAtConnect,
     AgentMode::HangsAtHead,
     AgentMode::TricklesHead,
@@ -190,6 +193,9 @@
             pending::<()>().await;
         }
         let mode = self.0.mode.get();
+        if mode == AgentMode::Refuses {
+            return Err(std::io::ErrorKind::ConnectionRefused.into());
+        }
         sleep(self.0.connect_delay.get()).await;
         let (gateway_io, agent_io) = duplex(1 << 16);
         let agent = self.clone();
@@ -285,7 +291,7 @@
     serve_in_turn(&agent).await;
     match mode {
         AgentMode::HangsAtConnect | AgentMode::HangsAtHead => return pending().await,
-        AgentMode::Closes => return Ok(()),
+        AgentMode::Refuses | AgentMode::Closes => return Ok(()),
         AgentMode::TricklesHead => {
             io.write_all(b"HTTP/1.1 200 OK\r\nX-Long: ").await?;
             return trickle(&mut io, "x").await;
@@ -335,7 +341,10 @@
 /// Sends the faulty rest of a response, after its head or on a watch that was healthy until now.
 async fn send_faulty_body(io: &mut DuplexStream, mode: AgentMode, complete: bool) -> std::io::Result<()> {
     match mode {
-        AgentMode::RespondsUnavailable | AgentMode::Closes | AgentMode::ClosesAfterHead => return Ok(()),
+        AgentMode::Refuses
+        | AgentMode::RespondsUnavailable
+        | AgentMode::Closes
+        | AgentMode::ClosesAfterHead => return Ok(()),
         AgentMode::HangsInObject => send_chunk(io, r#"{"revision":2,"mem"#).await?,
         AgentMode::TricklesObject => {
             send_chunk(io, r#"{"revision":2,"members":[{"id":""#).await?;
--- a/tests/unit/slow_discovery_agents.rs
+++ b/tests/unit/slow_discovery_agents.rs
@@ -1,5 +1,5 @@
 //! Tests, in paused time, of watchers whose agents take long to answer, to send an object, or to get to a
-//! request.
+//! request, and of watchers that come to another agent.
 
 use super::*;
 
@@ -276,3 +276,25 @@
         }
     }
 }
+
+/// Regression test for an incident: the agent's process ends, and the next one at its address counts its
+/// revisions anew. The watcher took it for the old one and asked for changes after a revision that the new
+/// process had not reached.
+#[test]
+fn a_drain_at_a_new_process_at_the_address_of_the_agent_is_applied_in_time() {
+    const KNOWN_REVISION: u64 = 41;
+    for down_for in fault_durations().step_by(3).skip(1) {
+        let elapsed = run_in_paused_time(|sink, limits| async move {
+            let agent = StubAgent::new(AgentMode::Healthy, 1);
+            let _watcher = WatcherHandle::start(&sink, agent.clone(), Some(KNOWN_REVISION), limits);
+            sleep(Duration::from_secs(1)).await;
+            agent.0.mode.set(AgentMode::Refuses);
+            sleep(down_for).await;
+            agent.0.mode.set(AgentMode::Healthy);
+            sleep(Duration::from_secs(1)).await;
+            agent.0.revision.set(2);
+            time_until_drained(&sink).await
+        });
+        assert!(elapsed < MAX_NOTIFICATION_DELAY, "down for {down_for:?}: applied only after {elapsed:?}");
+    }
+}
