Do not send to a server whose address another process has taken

Cause: servers were known by id only. Both ids at one address were ready, and the check before the first byte did not compare the address.

Change: of two servers at one address the one that started earlier is removed; check_may_begin compares the address.

--- a/src/net/endpoint_registry.rs
+++ b/src/net/endpoint_registry.rs
@@ -2,7 +2,7 @@
 
 use super::discovery::{EndpointEntry, EndpointList};
 use crate::event::{Endpoint, EndpointState, EndpointUpdate};
-use crate::ids::ServerId;
+use crate::ids::{Millis, ServerId};
 use log::Level;
 use std::collections::{HashMap, HashSet};
 use std::net::{AddrParseError, SocketAddr};
@@ -69,6 +69,9 @@
     /// The server's id in the list.
     id: String,
     address: SocketAddr,
+    /// Time of the server's last start, Unix ms; 0 means long ago.
+    started_at: Millis,
+    /// Whether the server accepts new requests; false once another process has taken its address.
     ready: bool,
 }
 
@@ -102,7 +105,14 @@
     /// Applies a list from discovery. Entries that cannot be decoded are logged and ignored.
     pub fn apply(&mut self, list: &EndpointList<'_>, update: EndpointUpdate) -> DecodedList {
         let mut decoded = DecodedList { endpoints: Vec::new(), all_decoded: true };
-        for entry in list.entries() {
+        let entries: Vec<_> = list.entries().collect();
+        if update != EndpointUpdate::Incremental {
+            // Servers that are not listed are removed first, since a listed server may have the numeric id of
+            // one that is gone.
+            let listed: HashSet<&str> = entries.iter().flatten().map(|entry| entry.id.as_ref()).collect();
+            self.endpoints.retain(|_, endpoint| listed.contains(endpoint.id.as_str()));
+        }
+        for entry in entries {
             match entry.map_err(EndpointError::from).and_then(|entry| self.apply_entry(&entry)) {
                 Ok(endpoint) => decoded.endpoints.push(endpoint),
                 Err(error) => {
@@ -115,9 +125,50 @@
             let listed: HashSet<ServerId> = decoded.endpoints.iter().map(|e| e.server).collect();
             self.endpoints.retain(|server, _| listed.contains(server));
         }
+        self.remove_replaced(&mut decoded.endpoints);
         decoded
     }
 
+    /// Marks servers whose addresses have been taken by processes that started later as not ready, and makes
+    /// the policy remove them.
+    ///
+    /// Discovery may report the new process before it reports that the old one is gone. Requests to the old
+    /// server would reach the new process, and the policy would count them for the old server.
+    fn remove_replaced(&mut self, endpoints: &mut Vec<Endpoint>) {
+        let latest_starts = self.latest_starts(endpoints);
+        let replaced: HashSet<ServerId> = self
+            .endpoints
+            .iter()
+            .filter(|(_, e)| latest_starts.get(&e.address).is_some_and(|latest| e.started_at < *latest))
+            .map(|(server, _)| *server)
+            .collect();
+        if replaced.is_empty() {
+            return;
+        }
+        endpoints.retain(|endpoint| !replaced.contains(&endpoint.server));
+        for server in replaced {
+            if let Some(endpoint) = self.endpoints.get_mut(&server) {
+                endpoint.ready = false;
+            }
+            endpoints.push(Endpoint { server, state: EndpointState::Removed, ..Endpoint::default() });
+        }
+    }
+
+    /// The start of the latest process at each address of these servers.
+    fn latest_starts(&self, endpoints: &[Endpoint]) -> HashMap<SocketAddr, Millis> {
+        let mut latest_starts: HashMap<SocketAddr, Millis> = endpoints
+            .iter()
+            .filter_map(|endpoint| self.address(endpoint.server))
+            .map(|address| (address, 0.0))
+            .collect();
+        for endpoint in self.endpoints.values() {
+            if let Some(latest) = latest_starts.get_mut(&endpoint.address) {
+                *latest = latest.max(endpoint.started_at);
+            }
+        }
+        latest_starts
+    }
+
     fn apply_entry(&mut self, entry: &EndpointEntry<'_>) -> Result<Endpoint, EndpointError> {
         let server = server_id(&entry.id);
         let state = decode_state(entry)?;
@@ -131,7 +182,8 @@
             let ready = state == EndpointState::Ready;
             let address = self.decode_address(entry, server, ready)?;
             let id = entry.id.to_string();
-            self.endpoints.insert(server, RegisteredEndpoint { id, address, ready });
+            let started_at = entry.up_since_ms;
+            self.endpoints.insert(server, RegisteredEndpoint { id, address, started_at, ready });
         }
         Ok(Endpoint {
             server,
--- a/src/net/event_loop.rs
+++ b/src/net/event_loop.rs
@@ -15,7 +15,7 @@
 use super::request_table::{AttemptId, RequestTable};
 use super::supervisor::keep_running;
 use super::timer_queue::{TimerKind, TimerQueue};
-use super::upstream::{AttemptOwner, ConnectionPool, PoolSettings};
+use super::upstream::{AttemptOwner, ConnectionPool, PoolSettings, Target};
 use crate::action::Action;
 use crate::config::{Config, Names};
 use crate::event::{EndpointUpdate, Event, Outcome};
@@ -335,8 +335,8 @@
         &self.pool
     }
 
-    fn check_may_begin(&self, id: RequestId, attempt_number: u8, server: ServerId) -> Result<(), Outcome> {
-        EventLoop::check_may_begin(self, id, attempt_number, server)
+    fn check_may_begin(&self, id: RequestId, attempt_number: u8, target: Target) -> Result<(), Outcome> {
+        EventLoop::check_may_begin(self, id, attempt_number, target)
     }
 
     fn attempt_begins(&self, id: RequestId) {
--- a/src/net/event_loop/attempts.rs
+++ b/src/net/event_loop/attempts.rs
@@ -8,7 +8,7 @@
 use crate::net::request_table::{AttemptId, PendingRequest};
 use crate::net::socket::may_be_closed_by_peer;
 use crate::net::timer_queue::TimerKind;
-use crate::net::upstream::{self, AttemptSpec};
+use crate::net::upstream::{self, AttemptSpec, Target};
 use bytes::Bytes;
 use std::num::NonZeroU32;
 use std::rc::Rc;
@@ -70,8 +70,7 @@
         Ok(AttemptSpec {
             id: attempt.request,
             number: attempt.number,
-            server,
-            address,
+            target: Target { server, address },
             forwarded_request: request.forwarded_request.clone(),
             timeout_at: now + timeout,
         })
@@ -96,7 +95,7 @@
         self: &Rc<Self>,
         id: RequestId,
         number: u8,
-        server: ServerId,
+        target: Target,
     ) -> Result<(), Outcome> {
         let client = self.requests.borrow().waiting_client(id);
         let client = client.ok_or(Outcome::NotSent)?;
@@ -110,8 +109,10 @@
         if self.check_may_forward().is_err() {
             return Err(Outcome::NotSent);
         }
-        // An attempt to a draining server ends as if the server were unreachable.
-        if self.accepts_requests(server) {
+        // An attempt to a draining server, or to an address at which the server no longer is, ends as if the
+        // server were unreachable. Another process may listen at that address now.
+        let is_at_address = self.endpoints.borrow().address(target.server) == Some(target.address);
+        if is_at_address && self.accepts_requests(target.server) {
             Ok(())
         } else {
             Err(Outcome::ConnectFailed)
--- a/src/net/upstream/attempt.rs
+++ b/src/net/upstream/attempt.rs
@@ -23,7 +23,7 @@
     ///
     /// # Errors
     /// The outcome of the attempt if it may not begin.
-    fn check_may_begin(&self, id: RequestId, attempt_number: u8, server: ServerId) -> Result<(), Outcome>;
+    fn check_may_begin(&self, id: RequestId, attempt_number: u8, target: Target) -> Result<(), Outcome>;
 
     /// Records that the first byte of an attempt is about to be written.
     fn attempt_begins(&self, id: RequestId);
@@ -36,6 +36,15 @@
     fn attempt_ended(&self, id: RequestId, attempt_number: u8, outcome: Outcome, body: Option<Bytes>);
 }
 
+/// Where an attempt is sent to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Target {
+    /// The server to send the request to.
+    pub server: ServerId,
+    /// The server's address when the attempt was started.
+    pub address: SocketAddr,
+}
+
 /// Parameters of an attempt.
 pub struct AttemptSpec {
     /// Id of the client's request.
@@ -43,9 +52,7 @@
     /// Number of the attempt among the attempts of the request, from 0.
     pub number: u8,
     /// The server to send the request to.
-    pub server: ServerId,
-    /// The server's address.
-    pub address: SocketAddr,
+    pub target: Target,
     /// The parts of the request that are the same for all its attempts.
     pub forwarded_request: Rc<ForwardedRequest>,
     /// Unix time at which the attempt times out, ms.
@@ -124,7 +131,7 @@
     loop {
         // Checked before a connection is taken or opened, because an attempt that ends without sending its
         // request closes the connection that it has obtained.
-        if let Err(outcome) = owner.check_may_begin(spec.id, spec.number, spec.server) {
+        if let Err(outcome) = owner.check_may_begin(spec.id, spec.number, spec.target) {
             return AttemptResult::without_body(outcome);
         }
         let (mut connection, source) = match obtain_connection(owner, spec).await {
@@ -132,14 +139,14 @@
             Err(outcome) => return AttemptResult::without_body(outcome),
         };
         let outcome = match send(owner, spec, &mut connection).await {
-            Ok(response) => return receive(owner, spec.server, connection, response).await,
+            Ok(response) => return receive(owner, spec.target.server, connection, response).await,
             Err(SendError::AfterFirstByte(outcome)) => outcome,
             // Nothing was written on the pooled connection, usually because the server closed the connection
             // while it was idle. The attempt continues with another connection.
             Err(_) if source == ConnectionSource::Pool => continue,
             Err(SendError::Closed) => Outcome::ConnectFailed,
             Err(SendError::NothingWritten) => owner
-                .check_may_begin(spec.id, spec.number, spec.server)
+                .check_may_begin(spec.id, spec.number, spec.target)
                 .err()
                 .unwrap_or(Outcome::ConnectFailed),
         };
@@ -151,10 +158,10 @@
     owner: &O,
     spec: &AttemptSpec,
 ) -> Result<(Connection, ConnectionSource), Outcome> {
-    if let Some(connection) = owner.pool().take(spec.server, spec.address, owner.now()) {
+    if let Some(connection) = owner.pool().take(spec.target.server, spec.target.address, owner.now()) {
         return Ok((connection, ConnectionSource::Pool));
     }
-    let connection = owner.pool().connect(spec.address).await?;
+    let connection = owner.pool().connect(spec.target.address).await?;
     Ok((connection, ConnectionSource::New))
 }
 
@@ -165,9 +172,9 @@
     connection: &mut Connection,
 ) -> Result<Response<Incoming>, SendError> {
     connection.sender.ready().await.map_err(|_| SendError::Closed)?;
-    let (owner_for_check, id, number, server) = (owner.clone(), spec.id, spec.number, spec.server);
+    let (owner_for_check, id, number, target) = (owner.clone(), spec.id, spec.number, spec.target);
     let may_begin = move || {
-        let may_begin = owner_for_check.check_may_begin(id, number, server).is_ok();
+        let may_begin = owner_for_check.check_may_begin(id, number, target).is_ok();
         if may_begin {
             owner_for_check.attempt_begins(id);
         }
@@ -176,7 +183,7 @@
     connection.exchange.begin(Box::new(may_begin));
     // Computed after the connection is open, because opening it may have used much of the attempt's time.
     let time_left = spec.timeout_at - owner.now();
-    let request = spec.forwarded_request.to_upstream(spec.address, time_left);
+    let request = spec.forwarded_request.to_upstream(spec.target.address, time_left);
     let sent = connection.sender.try_send_request(request).await;
     connection.exchange.end();
     sent.map_err(|error| match connection.exchange.has_written() {
--- a/src/net/upstream/mod.rs
+++ b/src/net/upstream/mod.rs
@@ -18,6 +18,6 @@
 mod request;
 mod response;
 
-pub use attempt::{run_attempt, AttemptOwner, AttemptSpec};
+pub use attempt::{run_attempt, AttemptOwner, AttemptSpec, Target};
 pub use pool::{ConnectionPool, PoolSettings};
 pub use request::ForwardedRequest;
--- a/tests/end_to_end/main.rs
+++ b/tests/end_to_end/main.rs
@@ -4,6 +4,7 @@
 
 mod client_requests;
 mod counter_service;
+mod endpoint_identity;
 mod endpoint_watch;
 mod lifecycle;
 #[allow(dead_code)] // each test program uses only some of the helpers
--- a/tests/unit/endpoint_registry.rs
+++ b/tests/unit/endpoint_registry.rs
@@ -73,3 +73,53 @@
         assert_eq!((registry.is_ready(ServerId(10)), registry.is_ready(ServerId(11))), (kept, true));
     }
 }
+
+/// An entry of a server at `127.0.0.1:9` that started at this time, Unix ms.
+fn started(id: &str, phase: &str, started_at: u64) -> String {
+    format!(r#"{{"id":"{id}","host_port":"127.0.0.1:9","phase":"{phase}","up_since_ms":{started_at}}}"#)
+}
+
+fn states(decoded: &DecodedList) -> Vec<(u32, EndpointState)> {
+    decoded.endpoints.iter().map(|endpoint| (endpoint.server.0, endpoint.state)).collect()
+}
+
+/// Regression test for an incident: a new process came up at the address of a server that discovery still listed
+/// as ready, and got the requests for both.
+#[test]
+fn a_server_whose_address_is_taken_by_a_later_process_is_removed() {
+    use EndpointState::{Ready, Removed};
+    let mut registry = registry();
+    apply(&mut registry, &started("s-0000000a", "Ready", 1000), EndpointUpdate::Complete);
+    let decoded = apply(&mut registry, &started("s-0000000b", "Ready", 2000), EndpointUpdate::Incremental);
+    assert_eq!(states(&decoded), [(11, Ready), (10, Removed)]);
+    assert_eq!((registry.is_ready(ServerId(10)), registry.is_ready(ServerId(11))), (false, true));
+    // A list that still contains the old server does not bring it back, whatever the order.
+    for list in [["a", "b"], ["b", "a"]] {
+        let entry =
+            |id: &&str| started(&format!("s-0000000{id}"), "Ready", if *id == "a" { 1000 } else { 2000 });
+        let list: Vec<String> = list.iter().map(entry).collect();
+        let decoded = apply(&mut registry, &list.join(","), EndpointUpdate::Complete);
+        assert_eq!(states(&decoded), [(11, Ready), (10, Removed)]);
+    }
+    // If the old server comes back as the latest process at the address, it takes the address over.
+    let decoded = apply(&mut registry, &started("s-0000000a", "Ready", 3000), EndpointUpdate::Incremental);
+    assert_eq!(states(&decoded), [(10, Ready), (11, Removed)]);
+}
+
+#[test]
+fn servers_that_started_at_the_same_time_may_share_an_address() {
+    let mut registry = registry();
+    let list = [started("s-0000000a", "Ready", 0), started("s-0000000b", "Ready", 0)].join(",");
+    let decoded = apply(&mut registry, &list, EndpointUpdate::Complete);
+    assert_eq!(states(&decoded), [(10, EndpointState::Ready), (11, EndpointState::Ready)]);
+}
+
+#[test]
+fn a_listed_server_may_have_the_numeric_id_of_one_that_the_same_list_leaves_out() {
+    let mut registry = registry();
+    apply(&mut registry, READY, EndpointUpdate::Complete);
+    let other = READY.replace("s-0000000a", "t-0000000a").replace("127.0.0.1:9", "127.0.0.1:8");
+    let decoded = apply(&mut registry, &other, EndpointUpdate::Complete);
+    assert!(decoded.all_decoded, "the server was ignored");
+    assert_eq!(registry.address(ServerId(10)), "127.0.0.1:8".parse().ok());
+}
