Split the watcher's handle from the watcher and the event loop by concern

The handle with the known revision is watcher_handle.rs; endpoints and timers of the event loop are files of their own. No behaviour changes.

--- a/src/net/discovery/mod.rs
+++ b/src/net/discovery/mod.rs
@@ -17,9 +17,11 @@
 mod response;
 mod timing;
 mod watcher;
+mod watcher_handle;
 
 pub use connect::Connect;
 pub use endpoint_list::{EndpointEntry, EndpointList};
 pub use error::DiscoveryError;
 pub use json_framer::max_object_bytes;
-pub use watcher::{EndpointSink, WatcherHandle, WatcherLimits};
+pub use watcher::EndpointSink;
+pub use watcher_handle::{WatcherHandle, WatcherLimits};
--- a/src/net/discovery/watcher.rs
+++ b/src/net/discovery/watcher.rs
@@ -9,13 +9,10 @@
 use super::timing::{
     RequestTiming, FIRST_CHANGE_DELAY, INITIAL_BACKOFF, STALE_WATCH_TIMEOUT, WATCH_IDLE_TIMEOUT,
 };
-use crate::net::supervisor::keep_running;
-use std::cell::Cell;
+use super::watcher_handle::{KnownRevision, ListOrigin, WatcherLimits};
 use std::convert::Infallible;
 use std::io::ErrorKind;
-use std::rc::Rc;
 use std::time::Duration;
-use tokio::task::AbortHandle;
 use tokio::time::Instant;
 
 /// Receives the lists that the agent sends.
@@ -28,103 +25,8 @@
     fn confirm_endpoints(&self);
 }
 
-/// Limits of a watcher's requests and memory.
-#[derive(Clone, Copy, Debug)]
-pub struct WatcherLimits {
-    /// Time for which an endpoint may still receive new requests after the gateway is notified that the
-    /// endpoint is draining. The request timeout and the longest backoff are derived from this time.
-    pub drain_grace: Duration,
-    /// Maximum size of one JSON object, bytes.
-    pub max_object_bytes: usize,
-}
-
-/// The revision of the list in use. Shared by the handle and its watcher, so that the watcher of another agent
-/// continues from this revision.
-#[derive(Clone, Debug, Default)]
-struct KnownRevision(Rc<Cell<Option<u64>>>);
-
-impl KnownRevision {
-    fn new(revision: Option<u64>) -> Self {
-        KnownRevision(Rc::new(Cell::new(revision)))
-    }
-
-    fn get(&self) -> Option<u64> {
-        self.0.get()
-    }
-
-    fn set(&self, revision: Option<u64>) {
-        self.0.set(revision);
-    }
-}
-
-/// Where the list comes from that a watcher starts with.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum ListOrigin {
-    /// The configuration, or no list at all.
-    Configuration,
-    /// An agent that was watched before.
-    OtherAgent,
-}
-
-/// A handle to a running watcher of one discovery agent. Dropping the handle stops the watcher.
-pub struct WatcherHandle<A> {
-    agent: A,
-    limits: WatcherLimits,
-    /// The revision up to which all changes are known. If it is `None`, a complete list must be read next.
-    revision: KnownRevision,
-    task: AbortHandle,
-}
-
-impl<A: Connect + Clone + PartialEq + 'static> WatcherHandle<A> {
-    /// Starts to watch `agent` for changes after `known_revision`. If `known_revision` is `None`, the watcher
-    /// reads a complete list first.
-    pub fn start<S: EndpointSink + Clone + 'static>(
-        sink: &S,
-        agent: A,
-        known_revision: Option<u64>,
-        limits: WatcherLimits,
-    ) -> Self {
-        let revision = KnownRevision::new(known_revision);
-        Self::start_from(sink, agent, revision, ListOrigin::Configuration, limits)
-    }
-
-    /// Watches `agent` instead of the current agent, if the two differ. The current list stays in use until
-    /// the new agent has sent a list or a change.
-    ///
-    /// The watch is opened for the changes after the revision of the current list, without waiting for the
-    /// new agent's complete list: if the agent is slow, a change would arrive only after two answers. The
-    /// revisions of the two agents may not be comparable, so the watcher also reads the complete list, beside
-    /// the watch.
-    pub fn switch_agent<S: EndpointSink + Clone + 'static>(&mut self, sink: &S, agent: A) {
-        if self.agent != agent {
-            let revision = KnownRevision::new(self.revision.get());
-            *self = WatcherHandle::start_from(sink, agent, revision, ListOrigin::OtherAgent, self.limits);
-        }
-    }
-
-    fn start_from<S: EndpointSink + Clone + 'static>(
-        sink: &S,
-        agent: A,
-        revision: KnownRevision,
-        origin: ListOrigin,
-        limits: WatcherLimits,
-    ) -> Self {
-        let (sink, watched_agent, known_revision) = (sink.clone(), agent.clone(), revision.clone());
-        let task = keep_running("discovery", move || {
-            EndpointWatcher::new(sink.clone(), watched_agent.clone(), known_revision.clone(), origin, limits)
-                .watch_forever()
-        });
-        WatcherHandle { agent, limits, revision, task }
-    }
-}
-
-impl<A> Drop for WatcherHandle<A> {
-    fn drop(&mut self) {
-        self.task.abort();
-    }
-}
-
-struct EndpointWatcher<S, A> {
+/// Keeps the endpoint list up to date with one agent.
+pub(super) struct EndpointWatcher<S, A> {
     sink: S,
     agent: A,
     timing: RequestTiming,
@@ -149,7 +51,14 @@
 }
 
 impl<S: EndpointSink, A: Connect + Clone + 'static> EndpointWatcher<S, A> {
-    fn new(sink: S, agent: A, revision: KnownRevision, origin: ListOrigin, limits: WatcherLimits) -> Self {
+    /// Creates a watcher of `agent` that continues from `revision`.
+    pub(super) fn new(
+        sink: S,
+        agent: A,
+        revision: KnownRevision,
+        origin: ListOrigin,
+        limits: WatcherLimits,
+    ) -> Self {
         let timing = RequestTiming::for_drain_grace(limits.drain_grace);
         EndpointWatcher {
             sink,
@@ -167,7 +76,8 @@
         }
     }
 
-    async fn watch_forever(mut self) {
+    /// Watches the agent and never returns.
+    pub(super) async fn watch_forever(mut self) {
         loop {
             let Err(error) = self.watch_until_error().await;
             log::warn!(
@@ -362,7 +272,3 @@
         self.sink.apply_endpoints(list)
     }
 }
-
-#[cfg(test)]
-#[path = "../../../tests/unit/endpoint_watcher.rs"]
-mod tests;
--- a/src/net/event_loop.rs
+++ b/src/net/event_loop.rs
@@ -8,7 +8,7 @@
 use super::cached_list::CachedList;
 use super::clock::Clock;
 use super::connection_limits::max_tenants;
-use super::counter::{CompletedCall, CounterClient, Increment};
+use super::counter::{CounterClient, Increment};
 use super::discovery::{EndpointList, EndpointSink};
 use super::endpoint_registry::EndpointRegistry;
 use super::event_sink::EventSink;
@@ -30,13 +30,14 @@
 use std::time::Duration;
 
 mod attempts;
+mod endpoints;
 mod requests;
+mod timers;
 
 pub use super::request_table::Answer;
 pub use requests::IncomingRequest;
 
-/// Time, ms, between two checks of the connections to servers and to the counter.
-const CONNECTION_CHECK_INTERVAL: Millis = 500.0;
+use timers::CONNECTION_CHECK_INTERVAL;
 
 /// The policy and the actions that it has returned but that have not been executed yet.
 struct Policy {
@@ -252,72 +253,6 @@
             Err(outcome) => self.enqueue(Event::CounterReplied { key, outcome, elapsed: 0.0, total: 0.0 }),
         }
     }
-
-    // ---- Servers ------------------------------------------------------------------------------
-
-    /// Applies an endpoint list from discovery. Returns false if an invalid entry was ignored, because the
-    /// change that the entry describes is then lost.
-    pub fn endpoints_changed(self: &Rc<Self>, list: &EndpointList<'_>) -> bool {
-        let update = if list.complete { EndpointUpdate::Complete } else { EndpointUpdate::Incremental };
-        let all_decoded = self.update_endpoints(list, update);
-        self.cached_list.confirm();
-        all_decoded
-    }
-
-    /// Whether new requests may be sent to a server.
-    pub fn accepts_requests(&self, server: ServerId) -> bool {
-        self.endpoints.borrow().is_ready(server)
-    }
-
-    fn update_endpoints(self: &Rc<Self>, list: &EndpointList<'_>, update: EndpointUpdate) -> bool {
-        let decoded = self.endpoints.borrow_mut().apply(list, update);
-        self.pool.retain_servers(|server| self.accepts_requests(server));
-        self.dispatch(Event::EndpointsChanged { update, entries: decoded.endpoints });
-        decoded.all_decoded
-    }
-
-    // ---- Timers -------------------------------------------------------------------------------
-
-    async fn run_timers(self: Rc<Self>) {
-        loop {
-            let kind = self.timers.next(&self.clock).await;
-            self.timer_fired(kind);
-        }
-    }
-
-    fn timer_fired(self: &Rc<Self>, kind: TimerKind) {
-        match kind {
-            TimerKind::Policy(token) => self.dispatch(Event::Timer(token)),
-            TimerKind::Attempt(attempt) => {
-                if self.requests.borrow().is_in_flight(attempt) {
-                    self.finish_attempt(attempt, Outcome::TimedOut);
-                }
-            }
-            TimerKind::Deadline(id) => self.time_out_request(id),
-            TimerKind::CounterCall(call) => self.counter_call_timed_out(call),
-            TimerKind::ConnectionCheck => {
-                self.pool.drop_expired(self.now());
-                self.counter.check_connections(self.now());
-                self.timers.arm(self.now() + CONNECTION_CHECK_INTERVAL, TimerKind::ConnectionCheck);
-            }
-        }
-    }
-
-    /// Whether a timer still has an effect when it fires.
-    fn timer_applies(&self, kind: TimerKind) -> bool {
-        match kind {
-            TimerKind::Attempt(attempt) => self.requests.borrow().is_in_flight(attempt),
-            TimerKind::Deadline(id) => self.requests.borrow().waiting_client(id).is_some(),
-            TimerKind::CounterCall(call) => self.counter.is_pending(call),
-            TimerKind::Policy(_) | TimerKind::ConnectionCheck => true,
-        }
-    }
-
-    fn counter_call_timed_out(self: &Rc<Self>, call: u64) {
-        if let Some(CompletedCall { key, elapsed }) = self.counter.expire_call(call, self.now()) {
-            self.dispatch(Event::CounterReplied { key, outcome: Outcome::TimedOut, elapsed, total: 0.0 });
-        }
-    }
 }
 
 impl EventSink for Rc<EventLoop> {
--- a/tests/unit/endpoint_watcher.rs
+++ b/tests/unit/endpoint_watcher.rs
@@ -6,9 +6,10 @@
 
 use super::super::json_framer::max_object_bytes;
 use super::super::timing::{RequestTiming, OBJECT_TIMEOUT, WATCH_IDLE_TIMEOUT};
-use super::{Connect, EndpointList, EndpointSink, WatcherHandle, WatcherLimits};
+use super::{Connect, EndpointSink, WatcherHandle, WatcherLimits};
 use crate::config::Config;
 use crate::ids::ServerId;
+use crate::net::discovery::EndpointList;
 use crate::net::event_loop::EventLoop;
 use std::cell::{Cell, RefCell};
 use std::fmt::{Display, Formatter};
