Let the queue send a probe when the mean response time rules its requests out

Cause, traced: mean 229.4 ms. On arrival 460 ms were enough for two means, when the counter had replied 458 ms were not. Only the first check sends a probe, and it did not rule the requests out; the check of the queue knew no probe.

Change: both checks are Gateway::may_wait. A probe needs 3 s without the start of an attempt of the class, as before.

Result: the minimal sequence is a test of its own, 0 of 115 before.

--- a/src/policy/queue.rs
+++ b/src/policy/queue.rs
@@ -47,7 +47,7 @@
             if !self.requests.contains_key(&id) {
                 continue;
             }
-            if self.can_meet_objective(now, id) {
+            if self.may_wait(now, id) {
                 queued_requests.extend(self.request_value(now, id).map(|value| QueuedRequest { id, value }));
             } else {
                 self.reject_or_fail(now, id);
--- a/tests/recovery.rs
+++ b/tests/recovery.rs
@@ -88,3 +88,18 @@
         }
     }
 }
+
+/// Regression test for an incident that the long run found: the mean response time after these disturbances
+/// allowed each request when it arrived, and ruled it out when the counter had replied 2 ms later. No request
+/// was forwarded or sent as a probe, so that the mean stayed for good.
+#[test]
+fn a_gateway_forwards_again_although_the_mean_rules_requests_out_only_after_the_counter_has_replied() {
+    const LARGE_FLEET: usize = 6;
+    let period = |kind, duration, pause| DisturbancePeriod { kind, duration, pause };
+    let disturbances = [
+        period(Disturbance::ServersHang, 7924.40345075193, 1749.3609802218305),
+        period(Disturbance::ServersFail(Outcome::Error), 4805.68026397452, 353.25199487496076),
+        period(Disturbance::ServersHang, 2791.751858042886, 0.0),
+    ];
+    assert_eq!(assert_recovers(LARGE_FLEET, &disturbances), Ok(()));
+}
