Make the order of replaced servers repeatable and shorten the slow agent tests

remove_replaced passed servers to the policy in the order of a hash map. One assertion of three tests in slow_discovery_agents.rs is a function now.

--- a/src/net/discovery/mod.rs
+++ b/src/net/discovery/mod.rs
@@ -3,9 +3,10 @@
 //! [`WatcherHandle`] runs one watcher for the agent in the configuration. The watcher first reads a complete
 //! list, unless the gateway already has one. It then keeps a watch open, on which the agent sends the
 //! changes. If the list that the gateway has came from another agent, the watcher also reads the new agent's
-//! complete list, beside the watch. When the watch fails, the watcher retries after a backoff, and reads a complete list again if
-//! a change may have been lost. When a request fails or its response is overdue, the watcher sends another one
-//! after a backoff, and uses the first response to any of them. It passes each list to an [`EndpointSink`].
+//! complete list, beside the watch. When the watch fails, the watcher retries after a backoff, and reads a
+//! complete list again if a change may have been lost. When a request fails or its response is overdue, the
+//! watcher sends another one after a backoff, and uses the first response to any of them. It passes each list
+//! to an [`EndpointSink`].
 
 mod connect;
 mod endpoint_list;
--- a/src/net/discovery/watcher_handle.rs
+++ b/src/net/discovery/watcher_handle.rs
@@ -20,7 +20,7 @@
 
 /// The revision of the list in use. Shared by the handle and its watcher, so that the watcher of another agent
 /// continues from this revision.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub(super) struct KnownRevision(Rc<Cell<Option<u64>>>);
 
 impl KnownRevision {
--- a/src/net/endpoint_registry.rs
+++ b/src/net/endpoint_registry.rs
@@ -136,7 +136,7 @@
     /// server would reach the new process, and the policy would count them for the old server.
     fn remove_replaced(&mut self, endpoints: &mut Vec<Endpoint>) {
         let latest_starts = self.latest_starts(endpoints);
-        let replaced: HashSet<ServerId> = self
+        let mut replaced: Vec<ServerId> = self
             .endpoints
             .iter()
             .filter(|(_, e)| latest_starts.get(&e.address).is_some_and(|latest| e.started_at < *latest))
@@ -145,6 +145,8 @@
         if replaced.is_empty() {
             return;
         }
+        // The policy must get the same list each time, and the order of a hash map varies.
+        replaced.sort_unstable();
         endpoints.retain(|endpoint| !replaced.contains(&endpoint.server));
         for server in replaced {
             if let Some(endpoint) = self.endpoints.get_mut(&server) {
--- a/tests/unit/slow_discovery_agents.rs
+++ b/tests/unit/slow_discovery_agents.rs
@@ -53,6 +53,16 @@
     elapsed.max().expect("no time was tested")
 }
 
+/// Asserts that a drain at a slow agent, at any time after the first request, is applied in time.
+fn assert_applied_in_time(first_request: FirstRequest, description: &str, new_agent: impl Fn() -> StubAgent) {
+    let longest = longest_time_until_drained(first_request, new_agent);
+    println!("{first_request:?}, {description}: drain applied within {longest:?}");
+    assert!(
+        longest < MAX_NOTIFICATION_DELAY,
+        "{first_request:?}, {description}: the drain was applied only after {longest:?}"
+    );
+}
+
 /// Regression test for an incident: the agent took longer for each answer than the request timeout, which is
 /// half of the drain grace. The watcher gave up each request and sent the same one again, so that a gateway
 /// that started or got a SIGHUP at that time never learned of a drain.
@@ -60,13 +70,8 @@
 fn a_drain_at_an_agent_that_is_slow_to_answer_is_applied_in_time() {
     for first_request in FIRST_REQUESTS {
         for delay in [300, 490, 510, 700, 1000, 1700, 2200].map(Duration::from_millis) {
-            let longest =
-                longest_time_until_drained(first_request, || StubAgent::with_response_delay(delay, 1));
-            println!("{first_request:?}, answers after {delay:?}: drain applied within {longest:?}");
-            assert!(
-                longest < MAX_NOTIFICATION_DELAY,
-                "{first_request:?}, answers after {delay:?}: the drain was applied only after {longest:?}"
-            );
+            let new_agent = || StubAgent::with_response_delay(delay, 1);
+            assert_applied_in_time(first_request, &format!("answers after {delay:?}"), new_agent);
         }
     }
 }
@@ -78,13 +83,8 @@
 fn a_drain_at_an_agent_that_sends_objects_slowly_is_applied_in_time() {
     for first_request in FIRST_REQUESTS {
         for object_time in [1900, 2100, 2500, 2900].map(Duration::from_millis) {
-            let longest =
-                longest_time_until_drained(first_request, || StubAgent::with_slow_objects(object_time, 1));
-            println!("{first_request:?}, objects over {object_time:?}: drain applied within {longest:?}");
-            assert!(
-                longest < MAX_NOTIFICATION_DELAY,
-                "{first_request:?}, objects over {object_time:?}: the drain was applied only after {longest:?}"
-            );
+            let new_agent = || StubAgent::with_slow_objects(object_time, 1);
+            assert_applied_in_time(first_request, &format!("objects over {object_time:?}"), new_agent);
         }
     }
 }
@@ -218,16 +218,8 @@
 fn a_drain_at_an_agent_where_requests_wait_in_turn_is_applied_in_time() {
     for first_request in [FirstRequest::StartsWithCachedList, FirstRequest::SwitchesAgent] {
         for service_time in [300, 600, 1000, 2000, 3000].map(Duration::from_millis) {
-            let longest = longest_time_until_drained(first_request, || {
-                StubAgent::with_requests_in_turn(service_time, 1)
-            });
-            println!(
-                "{first_request:?}, {service_time:?} for each request: drain applied within {longest:?}"
-            );
-            assert!(
-                longest < MAX_NOTIFICATION_DELAY,
-                "{first_request:?}, {service_time:?} for each request: applied only after {longest:?}"
-            );
+            let new_agent = || StubAgent::with_requests_in_turn(service_time, 1);
+            assert_applied_in_time(first_request, &format!("{service_time:?} for each request"), new_agent);
         }
     }
 }
